--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -22,6 +22,7 @@
 		config  *setup.Config
 		route   setup.Route
 		account setup.Account
+		// cost is what the request has taken of its account's allowance.
 		cost    float64
 		service string
 		arrived time.Time
--- a/entryd/relay/server.go
+++ b/entryd/relay/server.go
@@ -81,17 +81,17 @@
 		return false
 	}
 	now := d.clock.now()
-	x.cost = x.account.Cost(x.call.PromptTokens + x.call.AnswerTokens)
+	cost := x.account.Cost(x.call.PromptTokens + x.call.AnswerTokens)
 	if d.closing.Load() {
-		x.cost = 0
 		x.refuse(http.StatusServiceUnavailable, "Draining", now.Add(drainRetry))
 		return false
 	}
-	verdict := d.tables.take(x.account.Name, x.cost, now)
+	verdict := d.tables.take(x.account.Name, cost, now)
 	if !verdict.Admitted {
-		x.refuse(http.StatusTooManyRequests, "OverAllowance", verdict.RetryAt, "Cost", x.cost, "Level", verdict.Level)
+		x.refuse(http.StatusTooManyRequests, "OverAllowance", verdict.RetryAt, "Cost", cost, "Level", verdict.Level)
 		return false
 	}
+	x.cost = cost
 	return true
 }
 
