--- /dev/null
+++ b/decide/choice/choice_test.go
@@ -0,0 +1,105 @@
+package choice
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/goccy/go-yaml"
+)
+
+type (
+	pick struct {
+		Name       string               `yaml:"Name"`
+		Model      bool                 `yaml:"Model"`
+		Prompt     int                  `yaml:"Prompt"`
+		Slots      int                  `yaml:"Slots"`
+		Memory     int                  `yaml:"Memory"`
+		Candidates map[string]candidate `yaml:"Candidates"`
+		Want       string               `yaml:"Want"`
+	}
+
+	candidate struct {
+		Requests int     `yaml:"Requests"`
+		Reading  float64 `yaml:"Reading"`
+		Held     float64 `yaml:"Held"`
+		Cached   int     `yaml:"Cached"`
+		Local    bool    `yaml:"Local"`
+		Penalty  float64 `yaml:"Penalty"`
+	}
+)
+
+// TestPicks guards against requests that queue at a busy endpoint while another one would
+// answer sooner.
+func TestPicks(t *testing.T) {
+	text, err := os.ReadFile("testdata/picks.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var picks []pick
+	if err := yaml.UnmarshalWithOptions(text, &picks, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range picks {
+		request := Request{Prompt: p.Prompt, Answer: 50, Model: p.Model}
+		picked, ok := Pick(request, p.candidates(), func() float64 { return 0 })
+		if !ok || picked.Candidate.ID != p.Want {
+			t.Errorf("%s: picked %q, want %q", p.Name, picked.Candidate.ID, p.Want)
+		}
+	}
+}
+
+func (p pick) candidates() []Candidate {
+	slots := p.Slots
+	if slots == 0 {
+		slots = 64
+	}
+	var list []Candidate
+	for _, id := range slices.Sorted(maps.Keys(p.Candidates)) {
+		c := p.Candidates[id]
+		list = append(list, Candidate{
+			ID: id, Slots: slots, Memory: p.Memory, Cached: c.Cached, Local: c.Local, Penalty: c.Penalty,
+			Load: Load{Requests: c.Requests, Reading: c.Reading, Memory: c.Held},
+		})
+	}
+	return list
+}
+
+// TestSessionsAgree guards against daemons that send one session to different engines, which
+// then all read its shared parts, and against one engine that gets many more sessions than
+// others.
+func TestSessionsAgree(t *testing.T) {
+	const (
+		sessions = 600
+		engines  = 12
+	)
+	var candidates []Candidate
+	for i := range engines {
+		candidates = append(candidates, Candidate{ID: fmt.Sprintf("engine-%d", i), Slots: 64})
+	}
+	counts := map[string]int{}
+	for i := range sessions {
+		request := Request{Session: fmt.Sprintf("session-%d", i), Prompt: 9000, Shared: 6300, Model: true}
+		one, _ := Pick(request, candidates, func() float64 { return 0 })
+		slices.Reverse(candidates)
+		other, _ := Pick(request, candidates, func() float64 { return 0.99 })
+		if one.Candidate.ID != other.Candidate.ID {
+			t.Fatalf("session %d goes to %s and to %s", i, one.Candidate.ID, other.Candidate.ID)
+		}
+		counts[one.Candidate.ID]++
+	}
+	for id, count := range counts {
+		if count > 2*sessions/engines {
+			t.Errorf("%s gets %d of %d sessions", id, count, sessions)
+		}
+	}
+}
+
+// TestNoCandidate guards against a choice out of nothing.
+func TestNoCandidate(t *testing.T) {
+	if _, ok := Pick(Request{}, nil, func() float64 { return 0 }); ok {
+		t.Error("picked an endpoint out of none")
+	}
+}
--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -42,6 +42,12 @@
 		Now         time.Time
 	}
 
+	// Listed says that a daemon is known from the log though it may not have been heard.
+	Listed struct {
+		Daemon string
+		Now    time.Time
+	}
+
 	// Forgotten says that a peer is gone for good.
 	Forgotten struct {
 		Daemon string
@@ -107,6 +113,11 @@
 		s.configure(m)
 	case Heard:
 		s.heard(m)
+	case Listed:
+		if _, known := s.peers[m.Daemon]; !known {
+			s.settle(m.Now)
+			s.peers[m.Daemon] = newPeer("", nil, time.Time{})
+		}
 	case Forgotten:
 		s.settle(m.Now)
 		delete(s.peers, m.Daemon)
@@ -140,10 +151,7 @@
 	if !known || p.incarnation != m.Incarnation {
 		// The first digest of a peer tells what it has used so far; only what comes after it
 		// is taken off, since the bucket can't tell when the rest was used.
-		s.peers[m.Daemon] = &peer{
-			incarnation: m.Incarnation, used: m.Used, heardAt: m.Now,
-			assumed: map[string]float64{}, rates: map[string]float64{},
-		}
+		s.peers[m.Daemon] = newPeer(m.Incarnation, m.Used, m.Now)
 		return
 	}
 	seconds := m.Now.Sub(p.heardAt).Seconds()
@@ -162,19 +170,18 @@
 	clear(p.assumed)
 }
 
+func newPeer(incarnation string, used map[string]float64, heardAt time.Time) *peer {
+	return &peer{
+		incarnation: incarnation, used: used, heardAt: heardAt,
+		assumed: map[string]float64{}, rates: map[string]float64{},
+	}
+}
+
 // settle fills the buckets up to a time and takes off what the peers are taken to have used.
 func (s *State) settle(now time.Time) {
-	for _, p := range s.peers {
-		if p.silent || now.Sub(p.heardAt) <= silentAfter {
-			continue
-		}
-		p.silent = true
-		for name, b := range s.accounts {
-			part := b.account.Burst / float64(len(s.peers)+1)
-			b.level -= part
-			p.assumed[name] += part
-		}
-	}
+	s.findSilent(now)
+	daemons := float64(len(s.peers) + 1)
+	part := float64(s.heardPeers()+1) / daemons
 	for name, b := range s.accounts {
 		seconds := now.Sub(b.at).Seconds()
 		if seconds <= 0 {
@@ -184,16 +191,44 @@
 		for _, p := range s.peers {
 			rate := p.rates[name]
 			if p.silent {
-				rate = b.account.Rate / float64(len(s.peers)+1)
+				rate = b.account.Rate / daemons
 			}
 			b.level -= rate * seconds
 			p.assumed[name] += rate * seconds
 		}
-		b.level = min(b.level, b.account.Burst)
+		b.level = min(b.level, b.account.Burst*part)
 		b.at = now
 	}
 }
 
+// findSilent marks the peers that have fallen silent and takes their even parts off the levels.
+func (s *State) findSilent(now time.Time) {
+	for _, p := range s.peers {
+		if p.silent || now.Sub(p.heardAt) <= silentAfter {
+			continue
+		}
+		sharing := float64(s.heardPeers() + 1)
+		p.silent = true
+		for name, b := range s.accounts {
+			if part := b.level / sharing; part > 0 {
+				b.level -= part
+				p.assumed[name] += part
+			}
+		}
+	}
+}
+
+// heardPeers returns the number of peers that are not silent.
+func (s *State) heardPeers() int {
+	heard := 0
+	for _, p := range s.peers {
+		if !p.silent {
+			heard++
+		}
+	}
+	return heard
+}
+
 // Take asks for an allowance. An account that is unknown or has no limit is always admitted.
 func (s *State) Take(account string, cost float64, now time.Time) Verdict {
 	b, ok := s.accounts[account]
@@ -237,4 +272,5 @@
 
 func (Configured) message() {}
 func (Heard) message()      {}
+func (Listed) message()     {}
 func (Forgotten) message()  {}
--- /dev/null
+++ b/decide/quota/quota_test.go
@@ -0,0 +1,147 @@
+package quota
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"pgregory.net/rapid"
+
+	"lentilstage.dev/domain/setup"
+)
+
+type (
+	script struct {
+		Name  string  `yaml:"Name"`
+		Rate  float64 `yaml:"Rate"`
+		Burst float64 `yaml:"Burst"`
+		Start float64 `yaml:"Start"`
+		Steps []step  `yaml:"Steps"`
+	}
+
+	step struct {
+		// At and RetryAfter are in milliseconds.
+		At          int     `yaml:"At"`
+		Take        float64 `yaml:"Take"`
+		Return      float64 `yaml:"Return"`
+		Limit       float64 `yaml:"Limit"`
+		Peer        string  `yaml:"Peer"`
+		Incarnation string  `yaml:"Incarnation"`
+		Used        float64 `yaml:"Used"`
+		Want        string  `yaml:"Want"`
+		RetryAfter  int     `yaml:"RetryAfter"`
+	}
+)
+
+const account = "counter"
+
+func accounts(rate, burst float64) map[string]setup.Account {
+	return map[string]setup.Account{account: {Name: account, Rate: rate, Burst: burst, InTokens: true}}
+}
+
+// TestSteps guards against accounts that get more than their allowance over all daemons, and
+// against refusals of what is left of it.
+func TestSteps(t *testing.T) {
+	text, err := os.ReadFile("testdata/steps.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []script
+	if err := yaml.UnmarshalWithOptions(text, &scripts, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range scripts {
+		t.Run(s.Name, func(t *testing.T) { s.run(t) })
+	}
+}
+
+func (s script) run(t *testing.T) {
+	start := time.Unix(1000, 0)
+	state := New(s.Start)
+	state.Update(Configured{Accounts: accounts(s.Rate, s.Burst), Now: start})
+	for i, step := range s.Steps {
+		now := start.Add(time.Duration(step.At) * time.Millisecond)
+		switch {
+		case step.Peer != "":
+			state.Update(Heard{Daemon: step.Peer, Incarnation: step.Incarnation, Used: map[string]float64{account: step.Used}, Now: now})
+		case step.Limit > 0:
+			state.Update(Configured{Accounts: accounts(step.Limit, step.Limit), Now: now})
+		case step.Return > 0:
+			state.Return(account, step.Return)
+		default:
+			verdict := state.Take(account, step.Take, now)
+			if verdict.Admitted != (step.Want == "Admitted") {
+				t.Errorf("step %d: admitted is %v at level %.0f, want %s", i, verdict.Admitted, verdict.Level, step.Want)
+			}
+			if got := int(verdict.RetryAt.Sub(now).Round(time.Millisecond).Milliseconds()); !verdict.Admitted && got != step.RetryAfter {
+				t.Errorf("step %d: retry after %d ms, want %d", i, got, step.RetryAfter)
+			}
+		}
+	}
+}
+
+// TestFloodOverDaemons guards against a sum over all daemons above the allowance, with random
+// floods, digests and cuts. The slack is what all daemons together can take between two
+// digests before they know of each other, and a burst for each cut.
+func TestFloodOverDaemons(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const (
+			rate     = 10000.0
+			burst    = 10000.0
+			stepMS   = 10
+			digestMS = 200
+			seconds  = 12
+			windowMS = 8000
+		)
+		daemons := rapid.IntRange(2, 7).Draw(t, "daemons")
+		flood := rapid.Float64Range(1, 6).Draw(t, "flood")
+		cutFrom := rapid.IntRange(0, seconds*1000).Draw(t, "cutFrom")
+		cutFor := rapid.IntRange(0, 6000).Draw(t, "cutFor")
+		start := time.Unix(1000, 0)
+		states := make([]*State, daemons)
+		for i := range states {
+			states[i] = New(FullStart)
+			states[i].Update(Configured{Accounts: accounts(rate, burst), Now: start})
+			for j := range daemons {
+				if i != j {
+					states[i].Update(Listed{Daemon: string(rune('a' + j)), Now: start})
+				}
+			}
+		}
+		var taken []float64
+		for ms := 0; ms < seconds*1000; ms += stepMS {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			cut := ms >= cutFrom && ms < cutFrom+cutFor
+			sum := 0.0
+			for i, s := range states {
+				if ms%digestMS == 0 {
+					for j, peer := range states {
+						if i != j && (!cut || i != 0 && j != 0) {
+							s.Update(Heard{Daemon: string(rune('a' + j)), Used: peer.Used(), Now: now})
+						}
+					}
+				}
+				cost := rate * flood / float64(daemons) * stepMS / 1000
+				if s.Take(account, cost, now).Admitted {
+					sum += cost
+				}
+			}
+			taken = append(taken, sum)
+		}
+		span := windowMS / stepMS
+		allowed := rate*windowMS/1000 + burst
+		// The platform's own tolerance is a tenth, and 110,000 tokens at a rate near 250,000.
+		slack := allowed*0.1 + rate*110/250
+		inWindow := 0.0
+		for i, sum := range taken {
+			inWindow += sum
+			if i >= span {
+				inWindow -= taken[i-span]
+			}
+			if inWindow > allowed+slack {
+				t.Fatalf("%.0f taken in 8 s before %d ms, allowed %.0f", inWindow, i*stepMS, allowed+slack)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/decide/roster/roster_test.go
@@ -0,0 +1,96 @@
+package roster
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"lentilstage.dev/domain/setup"
+)
+
+type (
+	script struct {
+		Name  string   `yaml:"Name"`
+		Steps []step   `yaml:"Steps"`
+		End   []string `yaml:"End"`
+	}
+
+	step struct {
+		// At is in seconds.
+		At       float64  `yaml:"At"`
+		Put      string   `yaml:"Put"`
+		Drop     string   `yaml:"Drop"`
+		List     []string `yaml:"List"`
+		Offset   int64    `yaml:"Offset"`
+		End      int64    `yaml:"End"`
+		State    string   `yaml:"State"`
+		Born     int64    `yaml:"Born"`
+		Lost     bool     `yaml:"Lost"`
+		Returned bool     `yaml:"Returned"`
+		Elapsed  bool     `yaml:"Elapsed"`
+		Want     []string `yaml:"Want"`
+	}
+)
+
+// TestSteps guards against endpoints that get requests after they have left, and against the
+// loss of live ones in an outage of the log or by a stale read.
+func TestSteps(t *testing.T) {
+	text, err := os.ReadFile("testdata/steps.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []script
+	if err := yaml.UnmarshalWithOptions(text, &scripts, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range scripts {
+		t.Run(s.Name, func(t *testing.T) { s.run(t) })
+	}
+}
+
+func (s script) run(t *testing.T) {
+	state := New()
+	for i, step := range s.Steps {
+		var changes []Change
+		state, changes = state.Update(step.message())
+		var got []string
+		for _, c := range changes {
+			got = append(got, fmt.Sprint(c.Endpoint.ID, " ", c.Reason))
+		}
+		if !slices.Equal(got, step.Want) {
+			t.Errorf("step %d: changes %v, want %v", i, got, step.Want)
+		}
+	}
+	var end []string
+	for _, e := range state.Endpoints() {
+		end = append(end, fmt.Sprint(e.ID, " ", e.State))
+	}
+	if !slices.Equal(end, s.End) {
+		t.Errorf("endpoints %v, want %v", end, s.End)
+	}
+}
+
+func (s step) message() Message {
+	now := time.Unix(1000, 0).Add(time.Duration(s.At * float64(time.Second)))
+	switch {
+	case s.Put != "":
+		state := setup.Ready
+		if s.State != "" {
+			state = setup.State(s.State)
+		}
+		return Put{Offset: s.Offset, Now: now, Endpoint: setup.Endpoint{ID: s.Put, State: state, Born: s.Born}}
+	case s.Drop != "":
+		return Drop{Offset: s.Offset, ID: s.Drop, Now: now}
+	case s.Lost:
+		return Lost{Now: now}
+	case s.Returned:
+		return Returned{Now: now}
+	case s.Elapsed:
+		return Elapsed{Now: now}
+	}
+	return Listed{End: s.End, IDs: s.List, Now: now}
+}
--- /dev/null
+++ b/decide/usage/usage_test.go
@@ -0,0 +1,48 @@
+package usage
+
+import (
+	"maps"
+	"testing"
+	"time"
+)
+
+// TestTotals guards against counts that are lost with a process, counted twice by a repeated
+// or late digest, or put into the wrong window.
+func TestTotals(t *testing.T) {
+	const length = 5 * time.Second
+	start := time.Unix(1000, 0)
+	s := New("entry-1", "first", length)
+	window := s.Window(start)
+	s.Count("counter", start)
+	s.Count("counter", start.Add(4900*time.Millisecond))
+	s.Count("counter", start.Add(length))
+	early := map[int64]Counts{window: {"counter": 1}}
+	later := map[int64]Counts{window: {"counter": 3, "studio": 1}}
+	s.Heard("entry-2", "first", later)
+	s.Heard("entry-2", "first", early)
+	s.Heard("entry-2", "first", later)
+	s.Heard("entry-2", "second", map[int64]Counts{window: {"counter": 10}})
+	if got, want := s.Totals(window), (Counts{"counter": 15, "studio": 1}); !maps.Equal(got, want) {
+		t.Errorf("totals %v, want %v", got, want)
+	}
+	if got := s.Totals(window + 1)["counter"]; got != 1 {
+		t.Errorf("%d requests in the next window, want 1", got)
+	}
+	if got := s.End(window); !got.Equal(start.Add(length)) {
+		t.Errorf("window ends at %v", got)
+	}
+}
+
+// TestOldWindowsGo guards against counts that pile up.
+func TestOldWindowsGo(t *testing.T) {
+	s := New("entry-1", "first", time.Second)
+	for i := range 100 {
+		s.Count("counter", time.Unix(int64(i), 0))
+		s.Heard("entry-2", "first", map[int64]Counts{int64(i): {"counter": 1}})
+	}
+	for p, windows := range s.processes {
+		if len(windows) > keepWindows+1 {
+			t.Errorf("%d windows of %s kept", len(windows), p.daemon)
+		}
+	}
+}
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -274,6 +274,7 @@
 			g.members[r.Key] = m
 		}
 		g.mutex.Unlock()
+		d.tables.expect(r.Key, now)
 	}
 	return nil
 }
@@ -328,6 +329,13 @@
 	t.usage.Heard(d.Daemon, d.Incarnation, counts)
 }
 
+// expect counts a daemon that is known from the log among those that share allowances.
+func (t *tables) expect(daemon string, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.quota.Update(quota.Listed{Daemon: daemon, Now: now})
+}
+
 // forget drops what a daemon that is gone has told, but for its counts.
 func (t *tables) forget(daemon string, now time.Time) {
 	t.mutex.Lock()
