--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -34,14 +34,21 @@
 		Now      time.Time
 	}
 
-	// Heard brings what a peer has used since its start, by account.
+	// Heard brings what a peer has used since its start, by account. A peer may stand for
+	// several daemons.
 	Heard struct {
 		Daemon      string
 		Incarnation string
+		Daemons     int
 		Used        map[string]float64
 		Now         time.Time
 	}
 
+	// Reset drops all peers, since others will be heard in their place.
+	Reset struct {
+		Now time.Time
+	}
+
 	// Listed says that a daemon is known from the log though it may not have been heard.
 	Listed struct {
 		Daemon string
@@ -79,6 +86,7 @@
 
 	peer struct {
 		incarnation string
+		daemons     float64
 		used        map[string]float64
 		// assumed is what was taken off for the peer since its last digest, and rates what it
 		// used a second between its last digests.
@@ -118,6 +126,9 @@
 			s.settle(m.Now)
 			s.peers[m.Daemon] = newPeer("", nil, time.Time{})
 		}
+	case Reset:
+		s.settle(m.Now)
+		clear(s.peers)
 	case Forgotten:
 		s.settle(m.Now)
 		delete(s.peers, m.Daemon)
@@ -151,7 +162,9 @@
 	if !known || p.incarnation != m.Incarnation {
 		// The first digest of a peer tells what it has used so far; only what comes after it
 		// is taken off, since the bucket can't tell when the rest was used.
-		s.peers[m.Daemon] = newPeer(m.Incarnation, m.Used, m.Now)
+		p = newPeer(m.Incarnation, m.Used, m.Now)
+		p.daemons = float64(max(m.Daemons, 1))
+		s.peers[m.Daemon] = p
 		return
 	}
 	seconds := m.Now.Sub(p.heardAt).Seconds()
@@ -166,13 +179,13 @@
 			p.rates[name] += rateWeight * (more/seconds - p.rates[name])
 		}
 	}
-	p.used, p.heardAt, p.silent = m.Used, m.Now, false
+	p.used, p.heardAt, p.silent, p.daemons = m.Used, m.Now, false, float64(max(m.Daemons, 1))
 	clear(p.assumed)
 }
 
 func newPeer(incarnation string, used map[string]float64, heardAt time.Time) *peer {
 	return &peer{
-		incarnation: incarnation, used: used, heardAt: heardAt,
+		incarnation: incarnation, daemons: 1, used: used, heardAt: heardAt,
 		assumed: map[string]float64{}, rates: map[string]float64{},
 	}
 }
@@ -180,8 +193,8 @@
 // settle fills the buckets up to a time and takes off what the peers are taken to have used.
 func (s *State) settle(now time.Time) {
 	s.findSilent(now)
-	daemons := float64(len(s.peers) + 1)
-	part := float64(s.heardPeers()+1) / daemons
+	heard, daemons := s.sharing()
+	part := heard / daemons
 	for name, b := range s.accounts {
 		seconds := now.Sub(b.at).Seconds()
 		if seconds <= 0 {
@@ -191,7 +204,7 @@
 		for _, p := range s.peers {
 			rate := p.rates[name]
 			if p.silent {
-				rate = b.account.Rate / daemons
+				rate = b.account.Rate * p.daemons / daemons
 			}
 			b.level -= rate * seconds
 			p.assumed[name] += rate * seconds
@@ -207,10 +220,10 @@
 		if p.silent || now.Sub(p.heardAt) <= silentAfter {
 			continue
 		}
-		sharing := float64(s.heardPeers() + 1)
+		heard, _ := s.sharing()
 		p.silent = true
 		for name, b := range s.accounts {
-			if part := b.level / sharing; part > 0 {
+			if part := b.level * p.daemons / heard; part > 0 {
 				b.level -= part
 				p.assumed[name] += part
 			}
@@ -218,15 +231,16 @@
 	}
 }
 
-// heardPeers returns the number of peers that are not silent.
-func (s *State) heardPeers() int {
-	heard := 0
+// sharing returns the number of daemons that are heard and of all, this one included.
+func (s *State) sharing() (heard, daemons float64) {
+	heard, daemons = 1, 1
 	for _, p := range s.peers {
+		daemons += p.daemons
 		if !p.silent {
-			heard++
+			heard += p.daemons
 		}
 	}
-	return heard
+	return heard, daemons
 }
 
 // Take asks for an allowance. An account that is unknown or has no limit is always admitted.
@@ -273,4 +287,5 @@
 func (Configured) message() {}
 func (Heard) message()      {}
 func (Listed) message()     {}
+func (Reset) message()      {}
 func (Forgotten) message()  {}
--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -44,6 +44,12 @@
 		Now    time.Time
 	}
 
+	// End says that another daemon has found the endpoint to be gone.
+	End struct {
+		Offset int64
+		ID     string
+	}
+
 	// Listed says that all records up to the end were read anew: what has an older record
 	// and is not among the identifiers was deleted meanwhile.
 	Listed struct {
@@ -122,6 +128,14 @@
 		}
 		e.offset = m.Offset
 		return s.missing(m.ID, e, m.Now)
+	case End:
+		e, ok := s.entries[m.ID]
+		if !ok || !e.present || m.Offset < e.offset {
+			return s, nil
+		}
+		e.offset, e.present, e.goneAt = m.Offset, false, time.Time{}
+		s.entries[m.ID] = e
+		return s, []Change{{Endpoint: e.endpoint, Reason: Gone}}
 	case Listed:
 		return s.listed(m)
 	case Lost:
@@ -245,6 +259,7 @@
 
 func (Put) message()      {}
 func (Drop) message()     {}
+func (End) message()      {}
 func (Listed) message()   {}
 func (Lost) message()     {}
 func (Returned) message() {}
--- a/entryd/relay/control.go
+++ b/entryd/relay/control.go
@@ -62,11 +62,14 @@
 func (d *Daemon) catchUp(ctx context.Context) error {
 	return every(ctx, catchUpInterval, func() {
 		if !d.tables.ready() {
-			d.fetchAny(ctx, append(d.gossip.controls(0), d.settings.Seeds...))
+			d.fetchAny(ctx, append(d.members.controls(0), d.settings.Seeds...))
 			return
 		}
+		if hub, own := d.members.follow(d.clock.now()); !own && d.feed.differs(d.clock.now()) {
+			d.fetchAny(ctx, []string{hub.Control})
+		}
 		if config := d.tables.current(); config != nil && d.storeLost.Load() {
-			d.fetchAny(ctx, d.gossip.controls(config.Version))
+			d.fetchAny(ctx, d.members.controls(config.Version))
 		}
 	})
 }
@@ -74,7 +77,7 @@
 // fetchAny takes in the first snapshot that one of the addresses gives.
 func (d *Daemon) fetchAny(ctx context.Context, addresses []string) {
 	for _, address := range addresses {
-		if address == d.settings.ControlListen || ctx.Err() != nil {
+		if address == "" || address == d.settings.ControlListen || ctx.Err() != nil {
 			continue
 		}
 		s, err := fetchSnapshot(ctx, address)
@@ -90,7 +93,7 @@
 			d.takeEndpoint(r)
 			keys = append(keys, r.Key)
 		}
-		d.logChanges(d.tables.list(s.End, keys, d.clock.now()))
+		d.changed(d.tables.complete(s.End, keys, d.clock.now()))
 		d.logger.WithName("control").Info("Snapshot taken.", "From", address, "Records", len(s.Operators)+len(s.Endpoints))
 		return
 	}
--- a/entryd/relay/duty.go
+++ b/entryd/relay/duty.go
@@ -88,7 +88,8 @@
 		return nil
 	}
 	return every(ctx, dutyInterval, func() {
-		if u.daemon.draining.Load() || !u.daemon.tables.ready() {
+		// Only a hub hears the counts of all daemons.
+		if u.daemon.draining.Load() || !u.daemon.tables.ready() || u.daemon.tables.hubFollowed() {
 			return
 		}
 		u.keepLease(ctx)
--- /dev/null
+++ b/entryd/relay/feed.go
@@ -0,0 +1,125 @@
+package relay
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lentilstage.dev/decide/roster"
+)
+
+// feed knows how fresh the streams are, by the own reads and by those of the own hub. A
+// daemon reads a stream itself while it is a hub, or while its hub tells nothing fresh.
+type feed struct {
+	mutex sync.Mutex
+	// own are the times of this daemon's last reads up to a stream's end, hub those that its
+	// hub has told.
+	own map[Stream]time.Time
+	hub map[Stream]time.Time
+	// ownNext and hubNext are the offsets after the endpoints' records that were read.
+	ownNext int64
+	hubNext int64
+	// otherSince is when the endpoints began to differ from the hub's; zero while they don't.
+	otherSince time.Time
+	rosterHash func(time.Time) uint64
+	// wanted is the newest version of the configuration that a daemon has told of.
+	wanted atomic.Int64
+}
+
+const (
+	// operatorsFresh bounds the age of a hub's read of the configuration: an own read must
+	// still be made within the time in which a change is to be in force.
+	operatorsFresh = 1500 * time.Millisecond
+	// endpointsFresh bounds the age of a hub's read of the endpoints.
+	endpointsFresh = 1900 * time.Millisecond
+	// repairAfter is how long the endpoints may differ from the hub's before all are fetched;
+	// news are a datagram away.
+	repairAfter = 600 * time.Millisecond
+)
+
+func newFeed(rosterHash func(time.Time) uint64) *feed {
+	return &feed{own: map[Stream]time.Time{}, hub: map[Stream]time.Time{}, rosterHash: rosterHash}
+}
+
+// read notes an own read up to the stream's end.
+func (f *feed) read(stream Stream, next int64, now time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.own[stream] = now
+	if stream == Endpoints {
+		f.ownNext = next
+	}
+}
+
+// heard takes in what the hub tells of its reads.
+func (f *feed) heard(t totals, now time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.hub[Operators] = now.Add(-time.Duration(t.OperatorsAgeMS) * time.Millisecond)
+	f.hub[Endpoints] = now.Add(-time.Duration(t.EndpointsAgeMS) * time.Millisecond)
+	if t.Roster == f.rosterHash(now) {
+		f.otherSince = time.Time{}
+		f.hubNext = t.EndpointsNext
+	} else if f.otherSince.IsZero() {
+		f.otherSince = now
+	}
+}
+
+// fill puts the own reads into a hub's totals.
+func (f *feed) fill(t *totals, now time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	t.OperatorsAgeMS = now.Sub(f.own[Operators]).Milliseconds()
+	t.EndpointsAgeMS = now.Sub(f.own[Endpoints]).Milliseconds()
+	t.EndpointsNext = f.ownNext
+}
+
+// fresh reports whether the hub's last read of the stream is young enough to rely on.
+func (f *feed) fresh(stream Stream, now time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	limit := operatorsFresh
+	if stream == Endpoints {
+		limit = endpointsFresh
+	}
+	return now.Sub(f.hub[stream]) < limit
+}
+
+// next returns the offset from which an own read of the endpoints goes on, at least the
+// given one.
+func (f *feed) next(least int64) int64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return max(least, f.hubNext)
+}
+
+// differs reports whether the endpoints have differed from the hub's for too long, and starts
+// the time anew.
+func (f *feed) differs(now time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.otherSince.IsZero() || now.Sub(f.otherSince) < repairAfter {
+		return false
+	}
+	f.otherSince = now
+	return true
+}
+
+// noteConfig notes a version of the configuration that a daemon has told of.
+func (d *Daemon) noteConfig(version int64) {
+	for {
+		known := d.feed.wanted.Load()
+		if version <= known || d.feed.wanted.CompareAndSwap(known, version) {
+			return
+		}
+	}
+}
+
+// changed logs changes of endpoints and tells them to the daemons that follow.
+func (d *Daemon) changed(changes []roster.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	d.logChanges(changes)
+	d.gossip.sendNews(changes)
+}
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
+	"maps"
 	"net"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,49 +14,59 @@
 
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/quota"
+	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/decide/usage"
 )
 
 type (
-	// gossip exchanges digests with the other daemons in datagrams.
+	// gossip exchanges messages with the other daemons in datagrams: each daemon tells the
+	// hubs its digest, and a hub tells those that follow it the totals of all others.
 	gossip struct {
 		daemon *Daemon
-		conn   *net.UDPConn
-
-		mutex   sync.Mutex
-		members map[string]member
-	}
-
-	// member is another daemon.
-	member struct {
-		Address string `json:"Address"`
-		Control string `json:"Control"`
-		// Incarnation tells the processes of a daemon apart.
-		Incarnation string `json:"Incarnation"`
-		// At is when the record was written, by the writer's clock.
-		At time.Time `json:"At"`
-
-		heardAt time.Time
-		config  int64
-		offset  int64
-	}
-
-	// digest is what a daemon tells its peers. Numbers stand for names to keep it small.
-	digest struct {
-		Daemon      string           `cbor:"1,keyasint"`
-		Incarnation string           `cbor:"2,keyasint"`
-		Control     string           `cbor:"3,keyasint,omitempty"`
-		Config      int64            `cbor:"4,keyasint"`
-		TimeMS      int64            `cbor:"5,keyasint"`
-		Loads       map[uint32]load  `cbor:"6,keyasint,omitempty"`
-		Used        map[string]int64 `cbor:"7,keyasint,omitempty"`
-		// Counts are the requests of each account by window.
-		Counts map[int64]map[string]int64 `cbor:"8,keyasint,omitempty"`
+		conn   atomic.Pointer[net.UDPConn]
+		sentAt time.Time
+	}
+
+	// message is a datagram. Numbers stand for names to keep it small.
+	message struct {
+		Daemon      string  `cbor:"1,keyasint"`
+		Incarnation string  `cbor:"2,keyasint"`
+		Control     string  `cbor:"3,keyasint,omitempty"`
+		DataCentre  string  `cbor:"4,keyasint"`
+		Speed       float64 `cbor:"5,keyasint"`
+		Config      int64   `cbor:"6,keyasint,omitempty"`
+		TimeMS      int64   `cbor:"7,keyasint"`
+		// Loads and Used are the sender's own in a digest; those of all daemons but the
+		// receiver in totals.
+		Loads map[uint32]load  `cbor:"8,keyasint,omitempty"`
+		Used  map[string]int64 `cbor:"9,keyasint,omitempty"`
+		// Counts are the sender's requests of each account by window.
+		Counts map[int64]map[string]int64 `cbor:"10,keyasint,omitempty"`
 		// Fence is that of the duty if the daemon holds it.
-		Fence int64 `cbor:"9,keyasint,omitempty"`
+		Fence int64 `cbor:"11,keyasint,omitempty"`
+		// Follow asks the receiver for totals.
+		Follow bool    `cbor:"12,keyasint,omitempty"`
+		Totals *totals `cbor:"13,keyasint,omitempty"`
+		// Put and Gone are changes of endpoints, for those that follow.
+		Put  []Record `cbor:"14,keyasint,omitempty"`
+		Gone []Record `cbor:"15,keyasint,omitempty"`
+	}
+
+	// totals are what a hub tells of all daemons.
+	totals struct {
+		Daemons int      `cbor:"1,keyasint"`
+		Alive   []uint32 `cbor:"2,keyasint"`
+		// OperatorsAgeMS and EndpointsAgeMS are the times since the hub's last read of the
+		// streams' ends.
+		OperatorsAgeMS int64 `cbor:"3,keyasint"`
+		EndpointsAgeMS int64 `cbor:"4,keyasint"`
+		// EndpointsNext is the offset after the last record that the hub has read, Roster the
+		// hash of the endpoints by then.
+		EndpointsNext int64  `cbor:"5,keyasint"`
+		Roster        uint64 `cbor:"6,keyasint"`
 	}
 
-	// load is an endpoint's load by one daemon.
+	// load is an endpoint's load by one or more daemons.
 	load struct {
 		_        struct{} `cbor:",toarray"`
 		Requests int
@@ -66,25 +76,22 @@
 )
 
 const (
-	digestInterval = 200 * time.Millisecond
-	// memberInterval is the pause between reads of the daemons' records. Daemons that start
-	// tell all others themselves.
-	memberInterval = 12 * time.Second
-	// memberRecordEvery is the pause between two records of a daemon.
-	memberRecordEvery = 40 * time.Second
-	// memberForget is how long a daemon that is not heard is still told. A new record or a
-	// digest brings it back.
-	memberForget = 25 * time.Second
-	maxDigest    = 32 << 10
+	// digestInterval is the pause between digests of up to digestDaemons; with more daemons
+	// it grows with their number, so that a hub's work does not.
+	digestInterval = 100 * time.Millisecond
+	digestDaemons  = 40
+	maxDatagram    = 60 << 10
 	// usedWindows is the number of usage windows in a digest.
 	usedWindows = 4
+	// followLasts is how long a daemon that follows is told without asking again.
+	followLasts = 2 * time.Second
+	// hubName is the name under which the totals of the own hub stand among the peers.
+	hubName = "hub"
 )
 
-func newGossip(d *Daemon) *gossip {
-	return &gossip{daemon: d, members: map[string]member{}}
-}
+func newGossip(d *Daemon) *gossip { return &gossip{daemon: d} }
 
-// run exchanges digests until the context ends.
+// run exchanges messages until the context ends.
 func (g *gossip) run(ctx context.Context) error {
 	if g.daemon.settings.PeerListen == "" {
 		return nil
@@ -93,27 +100,28 @@
 	if err != nil {
 		return eris.Wrap(err, "address of digests")
 	}
-	if g.conn, err = net.ListenUDP("udp4", address); err != nil {
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
 		return eris.Wrap(err, "listen for digests")
 	}
-	stop := context.AfterFunc(ctx, func() { _ = g.conn.Close() })
+	g.conn.Store(conn)
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		g.receive(ctx)
+		g.receive(ctx, conn)
 	}()
-	go g.announce(ctx)
-	err = every(ctx, digestInterval, g.send)
+	err = every(ctx, digestInterval, g.tick)
 	<-done
 	return err
 }
 
-// receive takes in digests until the connection is closed.
-func (g *gossip) receive(ctx context.Context) {
-	buffer := make([]byte, maxDigest)
+// receive takes in messages until the connection is closed.
+func (g *gossip) receive(ctx context.Context, conn *net.UDPConn) {
+	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		n, from, err := g.conn.ReadFromUDP(buffer)
+		n, from, err := conn.ReadFromUDP(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -122,176 +130,178 @@
 			pause(ctx, digestInterval)
 			continue
 		}
-		var d digest
-		if err := cbor.Unmarshal(buffer[:n], &d); err != nil || d.Daemon == "" {
+		var m message
+		if err := cbor.Unmarshal(buffer[:n], &m); err != nil || m.Daemon == "" {
 			g.daemon.meters.count("Digests.Malformed")
 			continue
 		}
-		g.take(d, from.String())
+		g.take(m, from.String())
 	}
 }
 
-// take takes in a peer's digest.
-func (g *gossip) take(d digest, from string) {
-	if d.Daemon == g.daemon.settings.Name {
+// take takes in a message.
+func (g *gossip) take(m message, from string) {
+	d := g.daemon
+	if m.Daemon == d.settings.Name {
 		return
 	}
-	now := g.daemon.clock.now()
-	g.mutex.Lock()
-	m, known := g.members[d.Daemon]
-	news := !known || m.Incarnation != d.Incarnation
-	m.Address, m.Control, m.Incarnation, m.heardAt, m.config = from, d.Control, d.Incarnation, now, d.Config
-	g.members[d.Daemon] = m
-	g.mutex.Unlock()
-	if news {
-		g.daemon.logger.WithName("gossip").Info("Daemon heard.", "Daemon", d.Daemon, "Address", from, "Incarnation", d.Incarnation)
-	}
-	g.daemon.clock.heard(d.Daemon, time.UnixMilli(d.TimeMS))
-	g.daemon.tables.heard(d, now)
-	if d.Fence > 0 {
-		g.daemon.duty.heard(d.Fence)
+	now := d.clock.now()
+	sender := member{
+		Name: m.Daemon, Address: from, Control: m.Control, DataCentre: m.DataCentre, Speed: m.Speed,
+		Incarnation: m.Incarnation, config: m.Config,
+	}
+	if d.members.heard(sender, now) {
+		d.logger.WithName("gossip").Info("Daemon heard.", "Daemon", m.Daemon, "Address", from, "Incarnation", m.Incarnation)
+	}
+	d.clock.heard(m.Daemon, time.UnixMilli(m.TimeMS))
+	if m.Fence > 0 {
+		d.duty.heard(m.Fence)
+	}
+	d.noteConfig(m.Config)
+	switch {
+	case m.Totals != nil:
+		g.takeTotals(m, now)
+	case len(m.Put)+len(m.Gone) > 0:
+		g.takeNews(m, now)
+	default:
+		d.tables.heard(m, now)
 	}
 }
 
-// send tells the own digest to all members.
-func (g *gossip) send() {
-	d := g.daemon.tables.digest()
-	d.Daemon, d.Incarnation, d.Control = g.daemon.settings.Name, g.daemon.incarnation, g.daemon.settings.ControlListen
-	d.TimeMS = g.daemon.clock.ownTime().UnixMilli()
-	d.Fence = g.daemon.duty.fence()
-	message, err := cbor.Marshal(d)
-	if err != nil {
-		g.daemon.logger.WithName("gossip").Error(err, "Digest can't be encoded.")
+// takeTotals takes in what the own hub tells of all other daemons.
+func (g *gossip) takeTotals(m message, now time.Time) {
+	d := g.daemon
+	hub, own := d.members.follow(now)
+	if own || hub.Name != m.Daemon {
 		return
 	}
-	for _, address := range g.targets() {
-		udp, err := net.ResolveUDPAddr("udp4", address)
-		if err != nil {
-			continue
-		}
-		// A datagram that can't be sent is as good as lost; the next digest repeats it.
-		_, _ = g.conn.WriteToUDP(message, udp)
-		g.daemon.meters.count("Digests.Sent")
-	}
+	d.members.setAlive(m.Totals.Alive, now)
+	d.tables.heardTotals(m, now)
+	d.feed.heard(*m.Totals, now)
 }
 
-// targets returns the addresses of the members that are told, and forgets those that have
-// been silent for long.
-func (g *gossip) targets() []string {
-	now := g.daemon.clock.now()
-	g.mutex.Lock()
-	var addresses []string
-	var forgotten []string
-	for name, m := range g.members {
-		if now.Sub(m.heardAt) > memberForget {
-			delete(g.members, name)
-			forgotten = append(forgotten, name)
-			continue
-		}
-		addresses = append(addresses, m.Address)
+// takeNews takes in changes of endpoints.
+func (g *gossip) takeNews(m message, now time.Time) {
+	d := g.daemon
+	if _, own := d.members.follow(now); own {
+		return
 	}
-	g.mutex.Unlock()
-	for _, name := range forgotten {
-		g.daemon.tables.forget(name, now)
-		g.daemon.logger.WithName("gossip").Info("Daemon forgotten.", "Daemon", name)
+	for _, r := range m.Put {
+		d.takeEndpoint(r)
+	}
+	for _, r := range m.Gone {
+		d.logChanges(d.tables.gone(r, now))
 	}
-	return addresses
-}
-
-// daemons returns the number of daemons, this one included.
-func (g *gossip) daemons() int {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return len(g.members) + 1
 }
 
-// controls returns the control addresses of the daemons with a newer configuration.
-func (g *gossip) controls(newer int64) []string {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	var addresses []string
-	for _, m := range g.members {
-		if m.Control != "" && m.config > newer {
-			addresses = append(addresses, m.Control)
+// tick tells the hubs the own digest, and those that follow this daemon the totals.
+func (g *gossip) tick() {
+	d := g.daemon
+	now := d.clock.now()
+	interval := digestInterval * time.Duration(max(1, d.members.count()/digestDaemons))
+	if now.Sub(g.sentAt) < interval-digestInterval/2 {
+		return
+	}
+	g.sentAt = now
+	hubs := d.members.hubs(now)
+	hub, own := d.members.follow(now)
+	if own {
+		d.tables.leaveHub(now)
+	}
+	digest := d.tables.digest()
+	g.sign(&digest)
+	for _, h := range hubs {
+		if h.Name == d.settings.Name {
+			continue
 		}
+		digest.Follow = !own && h.Name == hub.Name
+		g.send(digest, h.Address)
 	}
-	return addresses
+	g.sendTotals(now)
 }
 
-// announce keeps this daemon's record in the log and reads the others'.
-func (g *gossip) announce(ctx context.Context) {
-	var writtenAt, readAt time.Time
-	for ctx.Err() == nil {
-		now := g.daemon.clock.now()
-		if now.Sub(writtenAt) > memberRecordEvery {
-			if err := g.writeRecord(ctx); err == nil {
-				writtenAt = now
-			}
-		}
-		if now.Sub(readAt) > memberInterval {
-			if err := g.readRecords(ctx); err == nil {
-				readAt = now
-			}
+// sendTotals tells the daemons that follow this one.
+func (g *gossip) sendTotals(now time.Time) {
+	d := g.daemon
+	followers := d.tables.followers(now)
+	if len(followers) == 0 {
+		return
+	}
+	heard := d.members.heardSince(now.Add(-aliveLasts))
+	t := totals{Daemons: d.members.count(), Alive: make([]uint32, 0, len(heard))}
+	for _, k := range heard {
+		t.Alive = append(t.Alive, shortID(k.Name))
+	}
+	d.feed.fill(&t, now)
+	t.Roster = d.tables.rosterHash(now)
+	sums := d.tables.sums(now)
+	for _, k := range heard {
+		if !followers[k.Name] {
+			continue
 		}
-		pause(ctx, time.Second)
+		m := sums.without(k.Name)
+		g.sign(&m)
+		m.Totals = &t
+		g.send(m, k.Address)
 	}
 }
 
-func (g *gossip) writeRecord(ctx context.Context) error {
+// sendNews tells changes of endpoints to those that follow this daemon.
+func (g *gossip) sendNews(changes []roster.Change) {
 	d := g.daemon
-	value, err := json.Marshal(member{
-		Address: d.settings.PeerListen, Control: d.settings.ControlListen, Incarnation: d.incarnation, At: d.clock.trueNow(),
-	})
-	if err != nil {
-		return err
+	if g.conn.Load() == nil {
+		return
+	}
+	now := d.clock.now()
+	followers := d.tables.followers(now)
+	if len(followers) == 0 {
+		return
+	}
+	m := d.tables.news(changes)
+	g.sign(&m)
+	for _, k := range d.members.heardSince(now.Add(-followLasts)) {
+		if followers[k.Name] {
+			g.send(m, k.Address)
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, readSlack)
-	defer cancel()
-	_, err = d.store.Append(ctx, Daemons, AnyOffset, d.settings.Name, value)
-	return err
 }
 
-func (g *gossip) readRecords(ctx context.Context) error {
+// sign fills in who sends a message.
+func (g *gossip) sign(m *message) {
 	d := g.daemon
-	ctx, cancel := context.WithTimeout(ctx, readSlack)
-	defer cancel()
-	page, err := d.store.Newest(ctx, Daemons)
+	m.Daemon, m.Incarnation, m.Control = d.settings.Name, d.incarnation, d.settings.ControlListen
+	m.DataCentre, m.Speed = d.settings.DataCentre, d.settings.Speed
+	m.TimeMS = d.clock.ownTime().UnixMilli()
+	m.Fence = d.duty.fence()
+	m.Config = d.tables.version()
+}
+
+func (g *gossip) send(m message, address string) {
+	data, err := cbor.Marshal(m)
 	if err != nil {
-		return err
+		g.daemon.logger.WithName("gossip").Error(err, "Message can't be encoded.")
+		return
 	}
-	now := d.clock.now()
-	for _, r := range page.Records {
-		var m member
-		if err := json.Unmarshal(r.Value, &m); err != nil || m.Address == "" {
-			continue
-		}
-		if r.Key == d.settings.Name || d.clock.trueNow().Sub(m.At) > memberRecordEvery+memberForget {
-			continue
-		}
-		g.mutex.Lock()
-		if known, ok := g.members[r.Key]; !ok || r.Offset > known.offset && known.Incarnation != m.Incarnation {
-			m.heardAt, m.offset = now, r.Offset
-			g.members[r.Key] = m
-		}
-		g.mutex.Unlock()
-		d.tables.expect(r.Key, now)
+	udp, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		g.daemon.logger.WithName("gossip").Info("Address can't be used.", "Address", address, "Error", err.Error())
+		return
 	}
-	return nil
+	// A datagram that can't be sent is as good as lost; the next message repeats it.
+	_, _ = g.conn.Load().WriteToUDP(data, udp)
+	g.daemon.meters.count("Digests.Sent")
 }
 
-// digest returns what the tables tell peers.
-func (t *tables) digest() digest {
+// digest returns what this daemon tells of itself.
+func (t *tables) digest() message {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	d := digest{Loads: map[uint32]load{}, Used: map[string]int64{}, Counts: map[int64]map[string]int64{}}
-	if t.config != nil {
-		d.Config = t.config.Version
-	}
+	m := message{Loads: map[uint32]load{}, Used: map[string]int64{}, Counts: map[int64]map[string]int64{}}
 	for id, own := range t.own {
-		d.Loads[shortID(id)] = load{Requests: own.Requests, Reading: int(own.Reading), Memory: int(own.Memory)}
+		m.Loads[shortID(id)] = load{Requests: own.Requests, Reading: int(own.Reading), Memory: int(own.Memory)}
 	}
 	for account, used := range t.quota.Used() {
-		d.Used[account] = int64(used)
+		m.Used[account] = int64(used)
 	}
 	newest := int64(0)
 	own := t.usage.Own()
@@ -300,50 +310,170 @@
 	}
 	for window, counts := range own {
 		if window > newest-usedWindows {
-			d.Counts[window] = counts
+			m.Counts[window] = counts
 		}
 	}
-	return d
+	return m
 }
 
-// heard takes in a peer's digest.
-func (t *tables) heard(d digest, now time.Time) {
+// heard takes in a daemon's digest.
+func (t *tables) heard(m message, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	loads := make(map[string]choice.Load, len(d.Loads))
-	for _, e := range t.roster.Endpoints() {
-		if l, ok := d.Loads[shortID(e.ID)]; ok {
-			loads[e.ID] = choice.Load{Requests: l.Requests, Reading: float64(l.Reading), Memory: float64(l.Memory)}
-		}
+	p, known := t.peers[m.Daemon]
+	if known && p.incarnation != m.Incarnation {
+		t.keepUsed(p)
 	}
-	t.peers[d.Daemon] = peerLoads{heardAt: now, loads: loads}
-	used := make(map[string]float64, len(d.Used))
-	for account, amount := range d.Used {
-		used[account] = float64(amount)
+	if m.Follow {
+		p.followUntil = now.Add(followLasts)
 	}
-	t.quota.Update(quota.Heard{Daemon: d.Daemon, Incarnation: d.Incarnation, Used: used, Now: now})
-	counts := make(map[int64]usage.Counts, len(d.Counts))
-	for window, c := range d.Counts {
+	p.heardAt, p.incarnation, p.loads, p.used = now, m.Incarnation, m.Loads, m.Used
+	t.peers[m.Daemon] = p
+	counts := make(map[int64]usage.Counts, len(m.Counts))
+	for window, c := range m.Counts {
 		counts[window] = c
 	}
-	t.usage.Heard(d.Daemon, d.Incarnation, counts)
+	t.usage.Heard(m.Daemon, m.Incarnation, counts)
+	if !t.followsHub {
+		t.quota.Update(quota.Heard{Daemon: m.Daemon, Incarnation: m.Incarnation, Used: amounts(m.Used), Daemons: 1, Now: now})
+	}
+}
+
+// keepUsed adds what an ended process had used to the sum, which must not fall.
+func (t *tables) keepUsed(p peerLoads) {
+	for account, used := range p.used {
+		t.pastUsed[account] += used
+	}
+}
+
+// heardTotals takes in what the own hub tells of all other daemons.
+func (t *tables) heardTotals(m message, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.followsHub || t.hub != m.Daemon {
+		t.followsHub, t.hub = true, m.Daemon
+		t.quota.Update(quota.Reset{Now: now})
+	}
+	t.hubLoads = peerLoads{heardAt: now, loads: m.Loads}
+	t.quota.Update(quota.Heard{
+		Daemon: hubName, Incarnation: m.Daemon + m.Incarnation, Used: amounts(m.Used), Daemons: max(m.Totals.Daemons-1, 1), Now: now,
+	})
+}
+
+// leaveHub turns to the digests of all daemons, since this daemon is its own hub.
+func (t *tables) leaveHub(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.followsHub {
+		return
+	}
+	t.followsHub, t.hub = false, ""
+	t.hubLoads = peerLoads{}
+	t.quota.Update(quota.Reset{Now: now})
 }
 
 // expect counts a daemon that is known from the log among those that share allowances.
 func (t *tables) expect(daemon string, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.quota.Update(quota.Listed{Daemon: daemon, Now: now})
+	if !t.followsHub {
+		t.quota.Update(quota.Listed{Daemon: daemon, Now: now})
+	}
+}
+
+// hubFollowed reports whether another daemon is the own hub.
+func (t *tables) hubFollowed() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.followsHub
+}
+
+// followers returns the daemons that asked for totals lately.
+func (t *tables) followers(now time.Time) map[string]bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	names := map[string]bool{}
+	for name, p := range t.peers {
+		if now.Before(p.followUntil) {
+			names[name] = true
+		}
+	}
+	return names
 }
 
 // forget drops what a daemon that is gone has told, but for its counts.
 func (t *tables) forget(daemon string, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.keepUsed(t.peers[daemon])
 	delete(t.peers, daemon)
 	t.quota.Update(quota.Forgotten{Daemon: daemon, Now: now})
 }
 
-// shortID stands for an endpoint in digests. Two endpoints with the same one would share
+// sums are the loads and uses of all daemons with those of each.
+type sums struct {
+	loads map[uint32]load
+	used  map[string]int64
+	peers map[string]peerLoads
+}
+
+// sums returns the loads and uses of all daemons, this one included.
+func (t *tables) sums(now time.Time) sums {
+	own := t.digest()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	s := sums{loads: own.Loads, used: own.Used, peers: map[string]peerLoads{}}
+	for account, used := range t.pastUsed {
+		s.used[account] += used
+	}
+	for name, p := range t.peers {
+		s.peers[name] = p
+		for account, used := range p.used {
+			s.used[account] += used
+		}
+		if now.Sub(p.heardAt) > loadsLast {
+			continue
+		}
+		for id, l := range p.loads {
+			sum := s.loads[id]
+			s.loads[id] = load{Requests: sum.Requests + l.Requests, Reading: sum.Reading + l.Reading, Memory: sum.Memory + l.Memory}
+		}
+	}
+	return s
+}
+
+// without returns the sums without the part of one daemon.
+func (s sums) without(daemon string) message {
+	p := s.peers[daemon]
+	m := message{Loads: maps.Clone(s.loads), Used: maps.Clone(s.used)}
+	for account, used := range p.used {
+		m.Used[account] -= used
+	}
+	for id, l := range p.loads {
+		sum := m.Loads[id]
+		rest := load{Requests: sum.Requests - l.Requests, Reading: sum.Reading - l.Reading, Memory: sum.Memory - l.Memory}
+		if rest.Requests <= 0 {
+			delete(m.Loads, id)
+			continue
+		}
+		m.Loads[id] = rest
+	}
+	return m
+}
+
+// loadOf returns a load as the choice needs it.
+func (l load) loadOf() choice.Load {
+	return choice.Load{Requests: l.Requests, Reading: float64(l.Reading), Memory: float64(l.Memory)}
+}
+
+func amounts(used map[string]int64) map[string]float64 {
+	amounts := make(map[string]float64, len(used))
+	for account, amount := range used {
+		amounts[account] = float64(amount)
+	}
+	return amounts
+}
+
+// shortID stands for an endpoint or a daemon in messages. Two with the same one would share
 // their loads, which is harmless.
 func shortID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
--- /dev/null
+++ b/entryd/relay/members.go
@@ -0,0 +1,293 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+type (
+	// members are the daemons as the log and their messages tell, and which of them are the
+	// hubs. A hub reads the log for the daemons of its data centre and sums up the loads and
+	// uses of all daemons for them; the others tell the hubs of all data centres their own.
+	// There is no election: each daemon takes the first live daemon of a data centre for its
+	// hub, and a daemon that is told something answers as one.
+	members struct {
+		self member
+
+		mutex sync.Mutex
+		known map[string]*member
+		// hub is the daemon that this one follows, and hubSince when it began to.
+		hub      string
+		hubSince time.Time
+		// alive are the daemons that the hub hears, by their short identifiers.
+		alive   map[uint32]bool
+		aliveAt time.Time
+	}
+
+	// member is a daemon.
+	member struct {
+		Name       string  `json:"Name"`
+		Address    string  `json:"Address"`
+		Control    string  `json:"Control"`
+		DataCentre string  `json:"DataCentre"`
+		Speed      float64 `json:"Speed"`
+		// Incarnation tells the processes of a daemon apart.
+		Incarnation string `json:"Incarnation"`
+		// At is when the record was written, by the writer's clock.
+		At time.Time `json:"At"`
+
+		// heardAt is when a message of the daemon last came, suspectAt when it was found silent.
+		heardAt   time.Time
+		listedAt  time.Time
+		suspectAt time.Time
+		config    int64
+	}
+)
+
+const (
+	// hubSilent is how long a hub may be silent before the next daemon is taken.
+	hubSilent = 700 * time.Millisecond
+	// suspectFor is how long a silent hub is passed over unless it is heard.
+	suspectFor = 5 * time.Second
+	// aliveLasts is how long a hub's list of live daemons counts.
+	aliveLasts = 1500 * time.Millisecond
+	// memberInterval is the pause between reads of the daemons' records, startInterval that
+	// of a daemon that has just started.
+	memberInterval = 15 * time.Second
+	startInterval  = time.Second
+	startReads     = 3
+	// memberRecordEvery is the pause between two records of a daemon; a daemon without one
+	// for memberForget is gone.
+	memberRecordEvery = 30 * time.Second
+	memberForget      = 70 * time.Second
+)
+
+func newMembers(s Settings, incarnation string) *members {
+	return &members{
+		self: member{
+			Name: s.Name, Address: s.PeerListen, Control: s.ControlListen, DataCentre: s.DataCentre,
+			Speed: s.Speed, Incarnation: incarnation,
+		},
+		known: map[string]*member{},
+	}
+}
+
+// heard notes a message of a daemon and returns whether it is a new process.
+func (m *members) heard(from member, now time.Time) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	known, ok := m.known[from.Name]
+	if !ok {
+		known = &member{}
+		m.known[from.Name] = known
+	}
+	news := known.Incarnation != from.Incarnation
+	listedAt := known.listedAt
+	*known = from
+	known.heardAt, known.listedAt = now, listedAt
+	return news
+}
+
+// listed notes a daemon's record and returns whether the daemon was not known.
+func (m *members) listed(from member, now time.Time) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	known, ok := m.known[from.Name]
+	switch {
+	case !ok:
+		from.listedAt = now
+		m.known[from.Name] = &from
+	case known.Incarnation != from.Incarnation && now.Sub(known.heardAt) > aliveLasts:
+		from.listedAt, from.heardAt = now, known.heardAt
+		*known = from
+	default:
+		known.listedAt = now
+	}
+	return !ok
+}
+
+// forget drops the daemons that have been silent and without a record for long, and returns
+// their names.
+func (m *members) forget(now time.Time) []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var gone []string
+	for name, k := range m.known {
+		if now.Sub(k.heardAt) > memberForget && now.Sub(k.listedAt) > memberForget {
+			delete(m.known, name)
+			gone = append(gone, name)
+		}
+	}
+	return gone
+}
+
+// hubs returns the hub of each data centre, by data centre. The own daemon may be one.
+func (m *members) hubs(now time.Time) map[string]member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	hubs := map[string]member{m.self.DataCentre: m.self}
+	for _, k := range m.known {
+		if !m.live(k, now) {
+			continue
+		}
+		first, ok := hubs[k.DataCentre]
+		if !ok || before(*k, first) {
+			hubs[k.DataCentre] = *k
+		}
+	}
+	return hubs
+}
+
+// live reports whether a daemon may be taken for a hub.
+func (m *members) live(k *member, now time.Time) bool {
+	if now.Sub(k.heardAt) < hubSilent {
+		return true
+	}
+	if !k.suspectAt.IsZero() && now.Sub(k.suspectAt) < suspectFor {
+		return false
+	}
+	if now.Sub(m.aliveAt) < aliveLasts {
+		return m.alive[shortID(k.Name)] || now.Sub(k.listedAt) < suspectFor && k.heardAt.IsZero()
+	}
+	return true
+}
+
+// before reports whether a daemon is a hub rather than the other: the faster machine, then
+// by hash.
+func before(a, b member) bool {
+	return cmp.Or(cmp.Compare(b.Speed, a.Speed), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))) < 0
+}
+
+// follow returns the own hub, and whether this daemon is it. A hub that stays silent is
+// passed over.
+func (m *members) follow(now time.Time) (member, bool) {
+	hub := m.hubs(now)[m.self.DataCentre]
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if hub.Name != m.hub {
+		m.hub, m.hubSince = hub.Name, now
+	}
+	k, ok := m.known[hub.Name]
+	if ok && now.Sub(m.hubSince) > hubSilent && now.Sub(k.heardAt) > hubSilent {
+		k.suspectAt = now
+	}
+	return hub, hub.Name == m.self.Name
+}
+
+// setAlive takes in the list of daemons that the own hub hears.
+func (m *members) setAlive(ids []uint32, now time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.alive = make(map[uint32]bool, len(ids))
+	for _, id := range ids {
+		m.alive[id] = true
+	}
+	m.aliveAt = now
+}
+
+// heardSince returns the daemons that were heard after a time.
+func (m *members) heardSince(since time.Time) []member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var heard []member
+	for _, k := range m.known {
+		if k.heardAt.After(since) {
+			heard = append(heard, *k)
+		}
+	}
+	slices.SortFunc(heard, func(a, b member) int { return cmp.Compare(a.Name, b.Name) })
+	return heard
+}
+
+// count returns the number of daemons, this one included.
+func (m *members) count() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return len(m.known) + 1
+}
+
+// controls returns the control addresses of the daemons with a configuration newer than the
+// given version.
+func (m *members) controls(newer int64) []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var addresses []string
+	for _, k := range m.known {
+		if k.Control != "" && k.config > newer {
+			addresses = append(addresses, k.Control)
+		}
+	}
+	return addresses
+}
+
+// keepMembers keeps this daemon's record in the log and reads the others'.
+func (d *Daemon) keepMembers(ctx context.Context) error {
+	var writtenAt, readAt time.Time
+	reads := 0
+	return every(ctx, startInterval/2, func() {
+		now := d.clock.now()
+		if writtenAt.IsZero() || now.Sub(writtenAt) > memberRecordEvery {
+			if err := d.writeMember(ctx); err == nil {
+				writtenAt = now
+			}
+		}
+		interval := memberInterval
+		if reads < startReads {
+			interval = startInterval
+		}
+		if readAt.IsZero() || now.Sub(readAt) > interval {
+			if err := d.readMembers(ctx); err == nil {
+				readAt = now
+				reads++
+			}
+		}
+		for _, name := range d.members.forget(now) {
+			d.tables.forget(name, now)
+			d.logger.WithName("members").Info("Daemon forgotten.", "Daemon", name)
+		}
+	})
+}
+
+func (d *Daemon) writeMember(ctx context.Context) error {
+	record := d.members.self
+	record.At = d.clock.trueNow()
+	value, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readSlack)
+	defer cancel()
+	_, err = d.store.Append(ctx, Daemons, AnyOffset, d.settings.Name, value)
+	return err
+}
+
+func (d *Daemon) readMembers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readSlack)
+	defer cancel()
+	page, err := d.store.Newest(ctx, Daemons)
+	if err != nil {
+		return err
+	}
+	now := d.clock.now()
+	for _, r := range page.Records {
+		var m member
+		if err := json.Unmarshal(r.Value, &m); err != nil || m.Address == "" || m.Name != r.Key {
+			d.logger.WithName("members").Info("Record can't be used.", "Key", r.Key, "Offset", r.Offset)
+			continue
+		}
+		if m.Name == d.settings.Name || d.clock.trueNow().Sub(m.At) > memberForget {
+			continue
+		}
+		d.tables.expect(m.Name, now)
+		if d.members.listed(m, now) {
+			d.logger.WithName("members").Info("Daemon listed.", "Daemon", m.Name, "Address", m.Address, "DataCentre", m.DataCentre)
+		}
+	}
+	return nil
+}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -11,7 +11,8 @@
 //   - tables: configuration, endpoints, health, loads and allowances, under one lock that is
 //     never held across I/O
 //   - watch: the followers of the log, which feed the tables
-//   - gossip: the digests between daemons
+//   - members, gossip, feed: the other daemons, the messages between them, and how fresh the
+//     streams are that one daemon of a data centre reads for the others
 //   - duty: the lease of the platform calls that one daemon at a time makes
 //   - server, exchange, attempt, stream: the way of a request
 //   - pool: the connections to endpoints
@@ -53,11 +54,13 @@
 		random      func() float64
 		incarnation string
 
-		tables *tables
-		pool   *pool
-		gossip *gossip
-		duty   *duty
-		budget *budget
+		tables  *tables
+		pool    *pool
+		gossip  *gossip
+		feed    *feed
+		members *members
+		duty    *duty
+		budget  *budget
 
 		draining atomic.Bool
 		// closing is set in the last part of draining, in which no request is taken.
@@ -120,6 +123,8 @@
 	d.tables = newTables(settings, d.incarnation)
 	d.pool = newPool()
 	d.budget = newBudget(settings.Bounds)
+	d.feed = newFeed(d.tables.rosterHash)
+	d.members = newMembers(settings, d.incarnation)
 	d.gossip = newGossip(d)
 	d.duty = newDuty(d)
 	return d, nil
@@ -138,6 +143,7 @@
 	group.Go(func() error { return d.watchOperators(running) })
 	group.Go(func() error { return d.watchEndpoints(running) })
 	group.Go(func() error { return d.gossip.run(running) })
+	group.Go(func() error { return d.keepMembers(running) })
 	group.Go(func() error { return d.duty.run(running) })
 	group.Go(func() error { return d.keepTables(running) })
 	group.Go(func() error { return d.catchUp(running) })
@@ -236,8 +242,8 @@
 // keepTables lets time pass in the tables.
 func (d *Daemon) keepTables(ctx context.Context) error {
 	return every(ctx, tickInterval, func() {
-		d.logChanges(d.tables.elapsed(d.clock.now()))
-		d.budget.resize(d.gossip.daemons())
+		d.changed(d.tables.elapsed(d.clock.now()))
+		d.budget.resize(d.members.count())
 	})
 }
 
--- a/entryd/relay/settings.go
+++ b/entryd/relay/settings.go
@@ -20,6 +20,8 @@
 		ControlListen string
 		PeerListen    string
 		MetricsListen string
+		// Speed ranks machines; that of a whole core is 1.
+		Speed float64
 		// Seeds are control addresses of daemons that may be up.
 		Seeds []string
 		// Bootstrap says that the whole system starts for the first time.
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -1,9 +1,13 @@
 package relay
 
 import (
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/decide/quota"
@@ -16,28 +20,43 @@
 	// tables are what a daemon knows: configuration, endpoints, their health and loads, and
 	// the allowances and usage of accounts. One lock guards them and is never held across I/O.
 	tables struct {
-		mutex     sync.Mutex
-		self      string
-		centre    string
-		config    *setup.Config
-		raw       map[Stream]map[string]Record
-		roster    roster.State
-		listed    bool
-		health    health.Aggregate
-		quota     *quota.State
-		usage     *usage.State
-		own       map[string]choice.Load
-		peers     map[string]peerLoads
+		mutex  sync.Mutex
+		self   string
+		centre string
+		config *setup.Config
+		raw    map[Stream]map[string]Record
+		roster roster.State
+		listed bool
+		health health.Aggregate
+		quota  *quota.State
+		usage  *usage.State
+		own    map[string]choice.Load
+		// peers are the daemons that tell this one their loads, hubLoads what the own hub tells
+		// of all; which of the two counts depends on followsHub.
+		peers      map[string]peerLoads
+		hubLoads   peerLoads
+		followsHub bool
+		hub        string
+		// pastUsed is what ended processes had used.
+		pastUsed map[string]int64
+		// list and hash are derived from the roster, and out of date while stale is set.
+		list      []setup.Endpoint
+		hash      uint64
+		stale     bool
 		cached    map[cacheKey]cacheEntry
 		cacheTime time.Duration
 		// misdirected holds endpoints whose address answered for another endpoint.
 		misdirected map[string]int64
 	}
 
-	// peerLoads are the loads that a peer has told.
+	// peerLoads are the loads and uses that a daemon has told.
 	peerLoads struct {
-		heardAt time.Time
-		loads   map[string]choice.Load
+		heardAt     time.Time
+		incarnation string
+		loads       map[uint32]load
+		used        map[string]int64
+		// followUntil is when the daemon no longer follows this one.
+		followUntil time.Time
 	}
 
 	cacheKey struct {
@@ -130,12 +149,11 @@
 func (t *tables) drop(record Record, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	delete(t.raw[Endpoints], record.Key)
 	return t.update(roster.Drop{Offset: record.Offset, ID: record.Key, Now: now}, now)
 }
 
-// list says that all records of endpoints up to the end were read.
-func (t *tables) list(end int64, ids []string, now time.Time) []roster.Change {
+// complete says that all records of endpoints up to the end were read.
+func (t *tables) complete(end int64, ids []string, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.listed = true
@@ -157,6 +175,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	changes := t.update(roster.Elapsed{Now: now}, now)
+	t.refresh(now)
 	t.health, _ = t.health.Update(health.Tick{Time: now})
 	if len(t.cached) > maxCached {
 		for key, entry := range t.cached {
@@ -172,33 +191,92 @@
 func (t *tables) update(m roster.Message, now time.Time) []roster.Change {
 	var changes []roster.Change
 	t.roster, changes = t.roster.Update(m)
-	if len(changes) == 0 {
-		return nil
-	}
 	for _, c := range changes {
 		delete(t.misdirected, c.Endpoint.ID)
+		if c.Reason == roster.Gone {
+			delete(t.raw[Endpoints], c.Endpoint.ID)
+		}
 	}
+	t.stale = t.stale || len(changes) > 0
+	return changes
+}
+
+// refresh brings what is derived from the roster up to date.
+func (t *tables) refresh(now time.Time) {
+	if !t.stale {
+		return
+	}
+	t.stale = false
+	t.list = t.roster.Endpoints()
+	t.hash = 0
 	var members []health.Member
-	for _, e := range t.roster.Endpoints() {
+	for _, e := range t.list {
+		t.hash ^= xxhash.Sum64String(fmt.Sprint(e.ID, e.Address, e.State, e.Born))
 		members = append(members, health.Member{Instance: e.ID, DataCentre: e.DataCentre, Routes: []string{e.Service}})
 	}
 	t.health, _ = t.health.Update(health.Listing{Time: now, Endpoints: members})
-	return changes
 }
 
-// load returns an endpoint's load by this daemon and its peers.
+// gone takes in the end of an endpoint that the own hub has found.
+func (t *tables) gone(record Record, now time.Time) []roster.Change {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.update(roster.End{Offset: record.Offset, ID: record.Key}, now)
+}
+
+// news returns a message with changes of endpoints.
+func (t *tables) news(changes []roster.Change) message {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var m message
+	for _, c := range changes {
+		id := c.Endpoint.ID
+		if c.Reason == roster.Gone {
+			m.Gone = append(m.Gone, Record{Key: id, Offset: t.roster.Offset(id)})
+		} else if r, ok := t.raw[Endpoints][id]; ok {
+			m.Put = append(m.Put, r)
+		}
+	}
+	return m
+}
+
+// rosterHash returns a hash of the endpoints, equal at daemons that know the same ones.
+func (t *tables) rosterHash(now time.Time) uint64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.refresh(now)
+	return t.hash
+}
+
+// version returns the version of the configuration in force, or 0.
+func (t *tables) version() int64 {
+	if config := t.current(); config != nil {
+		return config.Version
+	}
+	return 0
+}
+
+// load returns an endpoint's load by all daemons.
 func (t *tables) load(id string, now time.Time) choice.Load {
-	load := t.own[id]
-	for _, p := range t.peers {
+	sum := t.own[id]
+	short := shortID(id)
+	add := func(p peerLoads) {
 		if now.Sub(p.heardAt) > loadsLast {
-			continue
+			return
 		}
-		peer := p.loads[id]
-		load.Requests += peer.Requests
-		load.Reading += peer.Reading
-		load.Memory += peer.Memory
+		l := p.loads[short].loadOf()
+		sum.Requests += l.Requests
+		sum.Reading += l.Reading
+		sum.Memory += l.Memory
 	}
-	return load
+	if t.followsHub {
+		add(t.hubLoads)
+		return sum
+	}
+	for _, p := range t.peers {
+		add(p)
+	}
+	return sum
 }
 
 // candidates returns the endpoints of the service that may get the call. Endpoints that
@@ -209,7 +287,7 @@
 		memory = s.Engine.Memory
 	}
 	var good, poor []choice.Candidate
-	for _, e := range t.roster.Endpoints() {
+	for _, e := range t.list {
 		if e.Service != service || e.State != setup.Ready || tried[e.ID] {
 			continue
 		}
@@ -249,12 +327,11 @@
 
 // endpoint returns the entry of an endpoint that is not gone.
 func (t *tables) endpoint(id string) (setup.Endpoint, bool) {
-	for _, e := range t.roster.Endpoints() {
-		if e.ID == id {
-			return e, true
-		}
+	i := slices.IndexFunc(t.list, func(e setup.Endpoint) bool { return e.ID == id })
+	if i < 0 {
+		return setup.Endpoint{}, false
 	}
-	return setup.Endpoint{}, false
+	return t.list[i], true
 }
 
 // place picks an endpoint for the call and counts the call there. The caller ends the
@@ -263,6 +340,7 @@
 ) (setup.Endpoint, choice.Picked, *placement, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.refresh(now)
 	request := choiceRequest(t.config, service, call)
 	picked, ok := choice.Pick(request, t.candidates(service, call, tried, now), random)
 	if !ok {
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -19,6 +19,9 @@
 		listed func(end int64, keys []string)
 		state  func(up bool)
 
+		// wanted, if set, says that something newer than what was read is known to be there.
+		wanted func() bool
+
 		next   int64
 		synced bool
 		up     bool
@@ -28,13 +31,15 @@
 const (
 	// operatorWait bounds a read of the operators' stream. A connection that has gone silent
 	// must show soon enough for a change to be in force within its bound.
-	operatorWait = 1500 * time.Millisecond
+	operatorWait = 800 * time.Millisecond
 	// endpointWait and endpointPace are those of the endpoints' stream, whose records come all
 	// the time: the pace bounds the priced reads, and the time until a leaving endpoint shows.
 	endpointWait = 1000 * time.Millisecond
 	endpointPace = 700 * time.Millisecond
 	// readSlack is the time that an answer may take beyond its wait.
 	readSlack = 900 * time.Millisecond
+	// idlePause is the pause of a daemon whose hub reads for it.
+	idlePause = 50 * time.Millisecond
 	// retryPause follows a failed read.
 	retryPause = 300 * time.Millisecond
 )
@@ -44,6 +49,10 @@
 	f := &follower{
 		daemon: d, stream: Operators, wait: operatorWait, take: d.takeOperator,
 		state: func(up bool) { d.storeLost.Store(!up) },
+		wanted: func() bool {
+			config := d.tables.current()
+			return config != nil && d.feed.wanted.Load() > config.Version
+		},
 	}
 	return f.run(ctx)
 }
@@ -52,8 +61,8 @@
 func (d *Daemon) watchEndpoints(ctx context.Context) error {
 	f := &follower{
 		daemon: d, stream: Endpoints, wait: endpointWait, pace: endpointPace, take: d.takeEndpoint,
-		listed: func(end int64, keys []string) { d.logChanges(d.tables.list(end, keys, d.clock.now())) },
-		state:  func(up bool) { d.logChanges(d.tables.storeState(up, d.clock.now())) },
+		listed: func(end int64, keys []string) { d.changed(d.tables.complete(end, keys, d.clock.now())) },
+		state:  func(up bool) { d.changed(d.tables.storeState(up, d.clock.now())) },
 	}
 	return f.run(ctx)
 }
@@ -61,7 +70,15 @@
 func (f *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		started := f.daemon.clock.now()
-		err := f.step(ctx)
+		wait := f.wait
+		if !f.needed(started) {
+			if f.wanted == nil || !f.wanted() {
+				pause(ctx, idlePause)
+				continue
+			}
+			wait = 0
+		}
+		err := f.step(ctx, wait)
 		if ctx.Err() != nil {
 			break
 		}
@@ -77,14 +94,26 @@
 	return nil
 }
 
+// needed reports whether this daemon reads the stream itself.
+func (f *follower) needed(now time.Time) bool {
+	d := f.daemon
+	if _, own := d.members.follow(now); own || !f.synced {
+		return true
+	}
+	return !d.feed.fresh(f.stream, now)
+}
+
 // step makes one read: of everything, or of what is new.
-func (f *follower) step(ctx context.Context) error {
+func (f *follower) step(ctx context.Context, wait time.Duration) error {
 	if !f.synced {
 		return f.sync(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.wait+readSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
-	page, err := f.daemon.store.Read(ctx, f.stream, f.next, f.wait)
+	if f.stream == Endpoints {
+		f.next = f.daemon.feed.next(f.next)
+	}
+	page, err := f.daemon.store.Read(ctx, f.stream, f.next, wait)
 	if errors.Is(err, ErrTrimmed) {
 		f.daemon.logger.WithName("store").Info("History is gone; reading anew.", "Stream", f.stream, "From", f.next)
 		f.synced = false
@@ -97,6 +126,7 @@
 		f.take(r)
 		f.next = max(f.next, r.Offset+1)
 	}
+	f.daemon.feed.read(f.stream, f.next, f.daemon.clock.now())
 	return nil
 }
 
@@ -118,6 +148,7 @@
 	// A page may be older than what was read before; the position never goes back.
 	f.next = max(f.next, page.End)
 	f.synced = true
+	f.daemon.feed.read(f.stream, f.next, f.daemon.clock.now())
 	return nil
 }
 
@@ -163,14 +194,14 @@
 func (d *Daemon) takeEndpoint(r Record) {
 	now := d.clock.now()
 	if r.Value == nil {
-		d.logChanges(d.tables.drop(r, now))
+		d.changed(d.tables.drop(r, now))
 		return
 	}
 	endpoint, err := d.codec.Endpoint(r, now)
 	if err != nil {
 		d.logger.WithName("endpoints").Info("Record can't be used.", "Key", r.Key, "Offset", r.Offset, "Error", err.Error())
-		d.logChanges(d.tables.drop(r, now))
+		d.changed(d.tables.drop(r, now))
 		return
 	}
-	d.logChanges(d.tables.put(r, endpoint, now))
+	d.changed(d.tables.put(r, endpoint, now))
 }
