--- a/decide/choice/choice.go
+++ b/decide/choice/choice.go
@@ -82,9 +82,9 @@
 )
 
 const (
-	// readPerMS is the prompt tokens that an engine reads in a millisecond beside running
+	// ReadPerMS is the prompt tokens that an engine reads in a millisecond beside running
 	// requests; users state 44 and 50 for an idle one.
-	readPerMS = 40
+	ReadPerMS = 40
 	// runningMS is the delay that each running request adds to a first token.
 	runningMS = 0.8
 	// plainMS is the usual time of a plain request in a slot.
@@ -141,7 +141,7 @@
 		cached = max(cached, request.Shared)
 	}
 	p.Uncached = max(request.Prompt-cached, 1)
-	wait += (c.Load.Reading + float64(p.Uncached)) / readPerMS
+	wait += (c.Load.Reading + float64(p.Uncached)) / ReadPerMS
 	wait += runningMS * float64(c.Load.Requests)
 	if over > 0 && c.Slots > 0 {
 		wait += answerTokenMS * float64(request.Answer) * float64(over) / float64(c.Slots)
@@ -150,7 +150,7 @@
 		room := float64(c.Memory)*(1-reservedMemory) - c.Load.Memory - float64(request.Prompt+request.Answer)
 		if room < 0 {
 			p.Free = false
-			wait += -room / readPerMS
+			wait += -room / ReadPerMS
 		}
 	}
 	p.Wait = wait
--- /dev/null
+++ b/decide/scale/scale.go
@@ -0,0 +1,252 @@
+// Package scale decides how many endpoints of a service to order in each data centre, of
+// those that may be taken away (reclaimable) and of those that may not (firm).
+//
+// Reclaimable endpoints cost a part of the full price, and all of a data centre's may go at
+// a few seconds' notice, at times with none to be had anywhere for a while. The plan holds
+// enough of them, spread evenly, that the demand is still met without those of one data
+// centre. What the present ones can't carry is ordered as firm endpoints at once, and given
+// up when reclaimable ones are back.
+//
+// # Usage
+//
+//	demand = demand.With(work, now)
+//	plan := scale.Make(scale.View{Service: service, Centres: centres, Demand: demand.Endpoints(), Memory: memory, Now: now})
+//	for _, o := range plan.Orders { ... }
+//	memory = plan.Memory.WithSent(order, now) or plan.Memory.WithRefused(order, now)
+//
+// The package has no clock; Memory and Demand are immutable.
+package scale
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"lentilstage.dev/domain/setup"
+)
+
+type (
+	// Kind is a kind of endpoint in a data centre.
+	Kind struct {
+		DataCentre  string
+		Reclaimable bool
+	}
+
+	// Order sets the number of endpoints of a kind.
+	Order struct {
+		Kind
+		Count int
+	}
+
+	// View is what a plan is made from. It is not changed.
+	View struct {
+		Scaling setup.Scaling
+		// Ready counts the endpoints that take requests.
+		Ready map[Kind]int
+		// Demand is the number of endpoints that the requests keep fully busy. It is negative
+		// while it is not known.
+		Demand float64
+		Memory Memory
+		Now    time.Time
+	}
+
+	// Plan is the orders to send, with the memory to keep.
+	Plan struct {
+		Orders []Order
+		Memory Memory
+		// Held and Firm are the numbers that the plan aims at.
+		Held, Firm int
+	}
+
+	// Memory is what was ordered, and the size of the fleet before the demand was known.
+	Memory struct {
+		// startAt is when the first orders are sent.
+		startAt time.Time
+		first   int
+		// held and firm are the aims of the last plan.
+		held, firm int
+		ordered    map[Kind]placedOrder
+	}
+
+	placedOrder struct {
+		count int
+		at    time.Time
+		// refusedUntil is when the kind may be ordered again.
+		refusedUntil time.Time
+	}
+)
+
+const (
+	// holdFactor times the demand is held while reclaimable endpoints are to be had: without
+	// a third of them the demand is met, and short bursts are.
+	holdFactor = 1.9
+	// firmFactor times the demand is kept up with firm endpoints while they are not.
+	firmFactor = 1.3
+	// leastEndpoints are held in all, however low the demand is.
+	leastEndpoints = 3
+	// unknownCount stands for a kind that was not ordered yet.
+	unknownCount = -1
+	// startPause is how long endpoints may take to be known before the first orders: they
+	// register anew about once a second.
+	startPause = 3 * time.Second
+	// refusedPause follows a refused order.
+	refusedPause = 3 * time.Second
+	// lateMargin is how long after its boot time an ordered endpoint is taken not to come.
+	lateMargin = 4 * time.Second
+	// keepPart is the part by which the aim must be lower before endpoints are given up.
+	keepPart = 0.15
+)
+
+// Make returns the plan for a service.
+func Make(v View) Plan {
+	p := Plan{Memory: v.Memory}
+	centres := slices.Sorted(maps.Keys(v.Scaling.Prices))
+	if len(centres) == 0 || v.Scaling.Max <= 0 {
+		return p
+	}
+	p.aim(v, len(centres))
+	if v.Now.Before(p.Memory.startAt) {
+		return p
+	}
+	want := map[Kind]int{}
+	v.spread(centres, p.Held, true, want)
+	reclaimable := 0
+	for _, c := range centres {
+		reclaimable += min(v.Ready[Kind{c, true}], want[Kind{c, true}])
+	}
+	v.spread(centres, max(0, p.Firm-reclaimable), false, want)
+	for _, kind := range kinds(centres) {
+		if o, due := v.order(kind, want[kind]); due {
+			p.Orders = append(p.Orders, o)
+		}
+	}
+	return p
+}
+
+// aim sets the numbers that the plan aims at.
+func (p *Plan) aim(v View, centres int) {
+	m := &p.Memory
+	if m.startAt.IsZero() {
+		m.startAt = v.Now.Add(startPause)
+	}
+	total, firmReady := 0, 0
+	for kind, count := range v.Ready {
+		total += count
+		if !kind.Reclaimable {
+			firmReady += count
+		}
+	}
+	if v.Now.Before(m.startAt) {
+		m.first = max(m.first, total)
+	}
+	// A daemon that takes the duty over knows neither the demand nor what was ordered; it
+	// keeps what is there.
+	m.first = max(m.first, firmReady)
+	least := max(v.Scaling.Min*centres, leastEndpoints)
+	p.Held, p.Firm = m.first, m.first
+	if v.Demand >= 0 {
+		p.Held, p.Firm = int(math.Ceil(v.Demand*holdFactor)), int(math.Ceil(v.Demand*firmFactor))
+	}
+	p.Held, p.Firm = max(p.Held, least), max(p.Firm, least)
+	p.Held, p.Firm = keep(p.Held, m.held), keep(p.Firm, m.firm)
+	m.held, m.firm = p.Held, p.Firm
+}
+
+// keep returns the last number unless the new one is greater or clearly lower.
+func keep(next, last int) int {
+	if next < last && float64(next) > float64(last)*(1-keepPart) {
+		return last
+	}
+	return next
+}
+
+// spread adds a number of endpoints of a kind to the wanted ones: evenly if they may be
+// reclaimed, and otherwise at the cheapest data centres first.
+func (v View) spread(centres []string, count int, reclaimable bool, want map[Kind]int) {
+	room := func(c string) int {
+		return v.Scaling.Max - want[Kind{c, true}] - want[Kind{c, false}]
+	}
+	byPrice := slices.Clone(centres)
+	slices.SortStableFunc(byPrice, func(a, b string) int {
+		return cmp.Compare(v.Scaling.Prices[a], v.Scaling.Prices[b])
+	})
+	if !reclaimable {
+		for _, c := range byPrice {
+			given := min(count, room(c))
+			want[Kind{c, false}] += given
+			count -= given
+		}
+		return
+	}
+	for left := count; left > 0; {
+		given := 0
+		for _, c := range byPrice {
+			if left > 0 && room(c) > 0 {
+				want[Kind{c, true}]++
+				left--
+				given++
+			}
+		}
+		if given == 0 {
+			return
+		}
+	}
+}
+
+// order returns an order for a kind if one is due: more are wanted than were ordered or came,
+// or clearly fewer.
+func (v View) order(kind Kind, want int) (Order, bool) {
+	o := Order{Kind: kind, Count: want}
+	last, known := v.Memory.ordered[kind]
+	known = known && last.count >= 0
+	if !known {
+		// Before the first order the endpoints that are there are taken as ordered.
+		last.count = v.Ready[kind]
+	}
+	switch {
+	case v.Now.Before(last.refusedUntil):
+		return o, false
+	case want > last.count:
+		return o, true
+	case want < last.count:
+		return o, true
+	case known && v.Ready[kind] < want && v.Now.Sub(last.at) > v.Scaling.BootTime+lateMargin:
+		return o, true
+	}
+	return o, false
+}
+
+// WithSent returns the memory after an order that the platform has taken.
+func (m Memory) WithSent(o Order, now time.Time) Memory {
+	return m.with(o.Kind, placedOrder{count: o.Count, at: now})
+}
+
+// WithRefused returns the memory after an order that can't be met or had no answer.
+func (m Memory) WithRefused(o Order, now time.Time) Memory {
+	last, known := m.ordered[o.Kind]
+	if !known {
+		last.count = unknownCount
+	}
+	last.refusedUntil = now.Add(refusedPause)
+	return m.with(o.Kind, last)
+}
+
+func (m Memory) with(kind Kind, o placedOrder) Memory {
+	ordered := maps.Clone(m.ordered)
+	if ordered == nil {
+		ordered = map[Kind]placedOrder{}
+	}
+	ordered[kind] = o
+	m.ordered = ordered
+	return m
+}
+
+func kinds(centres []string) []Kind {
+	var all []Kind
+	for _, c := range centres {
+		all = append(all, Kind{c, true}, Kind{c, false})
+	}
+	return all
+}
--- /dev/null
+++ b/decide/scale/scale_test.go
@@ -0,0 +1,118 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"lentilstage.dev/domain/setup"
+)
+
+type (
+	script struct {
+		Name string `yaml:"Name"`
+		// Prices are those of the data centres a, b and c.
+		Prices map[string]float64 `yaml:"Prices"`
+		Min    int                `yaml:"Min"`
+		Max    int                `yaml:"Max"`
+		Steps  []step             `yaml:"Steps"`
+	}
+
+	step struct {
+		// At is in seconds.
+		At float64 `yaml:"At"`
+		// Firm and Reclaimable are the ready endpoints by data centre.
+		Firm        map[string]int `yaml:"Firm"`
+		Reclaimable map[string]int `yaml:"Reclaimable"`
+		Demand      float64        `yaml:"Demand"`
+		// Refused are the kinds whose orders can't be met.
+		Refused []string `yaml:"Refused"`
+		Want    []string `yaml:"Want"`
+	}
+)
+
+// TestPlans guards against fleets that break down when a data centre's reclaimable endpoints
+// go, against firm endpoints that are kept without need, and against orders that repeat.
+func TestPlans(t *testing.T) {
+	text, err := os.ReadFile("testdata/plans.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var scripts []script
+	if err := yaml.UnmarshalWithOptions(text, &scripts, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range scripts {
+		t.Run(s.Name, func(t *testing.T) { s.run(t) })
+	}
+}
+
+func (s script) run(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var memory Memory
+	scaling := setup.Scaling{Min: s.Min, Max: s.Max, BootTime: 4 * time.Second, Prices: s.Prices}
+	for i, step := range s.Steps {
+		now := start.Add(time.Duration(step.At * float64(time.Second)))
+		ready := map[Kind]int{}
+		for c, count := range step.Firm {
+			ready[Kind{c, false}] = count
+		}
+		for c, count := range step.Reclaimable {
+			ready[Kind{c, true}] = count
+		}
+		plan := Make(View{Scaling: scaling, Ready: ready, Demand: step.Demand, Memory: memory, Now: now})
+		memory = plan.Memory
+		var got []string
+		for _, o := range plan.Orders {
+			kind := "firm"
+			if o.Reclaimable {
+				kind = "reclaimable"
+			}
+			got = append(got, fmt.Sprint(o.DataCentre, " ", kind, " ", o.Count))
+			if slices.Contains(step.Refused, fmt.Sprint(o.DataCentre, " ", kind)) {
+				memory = memory.WithRefused(o, now)
+			} else {
+				memory = memory.WithSent(o, now)
+			}
+		}
+		if !slices.Equal(got, step.Want) {
+			t.Errorf("step %d: orders %q, want %q", i, got, step.Want)
+		}
+	}
+}
+
+// TestDemand guards against a fleet that follows a peak too late, or gives up endpoints in
+// each lull.
+func TestDemand(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var d Demand
+	work := 0.0
+	run := func(rate float64, seconds int) float64 {
+		for range seconds * 2 {
+			now = now.Add(500 * time.Millisecond)
+			work += rate / 2
+			d = d.With(work, now)
+		}
+		return d.Endpoints()
+	}
+	if got := run(0, 5); got != -1 {
+		t.Errorf("demand %.1f before any work", got)
+	}
+	if got := run(10, 10); got < 9 || got > 10.1 {
+		t.Errorf("demand %.1f after 10 s of 10 busy endpoints", got)
+	}
+	if got := run(20, 3); got < 18 {
+		t.Errorf("demand %.1f after 3 s of a peak of 20", got)
+	}
+	if got := run(10, 3); got < 17 {
+		t.Errorf("demand %.1f after 3 s of a lull", got)
+	}
+	work = 0
+	if got := run(10, 1); got < 15 {
+		t.Errorf("demand %.1f after the sum began anew", got)
+	}
+}
--- /dev/null
+++ b/entryd/relay/capacity.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lentilstage.dev/decide/choice"
+	"lentilstage.dev/decide/scale"
+	"lentilstage.dev/domain/setup"
+)
+
+// capacity orders endpoints while this daemon holds the duty. It belongs to the duty's
+// goroutine.
+type capacity struct {
+	daemon    *Daemon
+	services  map[string]*fleet
+	plannedAt time.Time
+}
+
+// fleet is the plan's state for one service.
+type fleet struct {
+	demand scale.Demand
+	memory scale.Memory
+}
+
+const (
+	// planInterval is the pause between two plans; a reclaim notice leaves about two seconds.
+	planInterval = 400 * time.Millisecond
+	// answerTokenMS is the time of an engine that one generated token takes, shared by the
+	// requests that run beside it.
+	answerTokenMS = 0.5
+)
+
+func newCapacity(d *Daemon) *capacity {
+	return &capacity{daemon: d, services: map[string]*fleet{}}
+}
+
+// plan makes the plan of each service and sends its orders.
+func (c *capacity) plan(ctx context.Context) {
+	d := c.daemon
+	now := d.clock.now()
+	if now.Sub(c.plannedAt) < planInterval {
+		return
+	}
+	c.plannedAt = now
+	config := d.tables.current()
+	for name, service := range config.Services {
+		if service.Scaling == nil {
+			continue
+		}
+		f := c.services[name]
+		if f == nil {
+			f = &fleet{}
+			c.services[name] = f
+		}
+		ready, work := d.tables.fleet(name, now)
+		f.demand = f.demand.With(work, now)
+		plan := scale.Make(scale.View{
+			Scaling: *service.Scaling, Ready: ready, Demand: f.demand.Endpoints(), Memory: f.memory, Now: now,
+		})
+		f.memory = plan.Memory
+		for _, o := range plan.Orders {
+			f.memory = c.send(ctx, name, o, plan, f)
+		}
+	}
+}
+
+// send sends an order and returns the memory after it.
+func (c *capacity) send(ctx context.Context, service string, o scale.Order, plan scale.Plan, f *fleet) scale.Memory {
+	d := c.daemon
+	fence := d.duty.fence()
+	if fence == 0 {
+		return f.memory
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := d.cloud.OrderEndpoints(ctx, Mandate{Holder: d.settings.Name, Fence: fence}, Order{
+		Service: service, DataCentre: o.DataCentre, Count: o.Count, Reclaimable: o.Reclaimable,
+	})
+	now := d.clock.now()
+	fields := []any{
+		"Service", service, "DataCentre", o.DataCentre, "Reclaimable", o.Reclaimable, "Count", o.Count, "Fence", fence,
+		"Demand", f.demand.Endpoints(), "Held", plan.Held, "Firm", plan.Firm,
+	}
+	if err != nil {
+		d.meters.count("Orders.Refused")
+		d.duty.log("Endpoints not ordered.", append(fields, "None", errors.Is(err, ErrNoneAvailable), "Error", err.Error())...)
+		return f.memory.WithRefused(o, now)
+	}
+	d.meters.count("Orders.Sent")
+	d.duty.log("Endpoints ordered.", fields...)
+	return f.memory.WithSent(o, now)
+}
+
+// fleet returns the ready endpoints of a service by kind, and the work that all daemons have
+// placed there, in seconds of an endpoint.
+func (t *tables) fleet(service string, now time.Time) (map[scale.Kind]int, float64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.refresh(now)
+	ready := map[scale.Kind]int{}
+	for _, e := range t.list {
+		if e.Service == service && e.State == setup.Ready {
+			ready[scale.Kind{DataCentre: e.DataCentre, Reclaimable: e.Reclaimable}]++
+		}
+	}
+	work := t.work[service] + t.pastWork[service]
+	for _, p := range t.peers {
+		work += float64(p.work[service])
+	}
+	return ready, work / 1000
+}
+
+// workOf returns the time of an engine that a request takes, in milliseconds.
+func workOf(r choice.Request, uncached int) float64 {
+	return float64(uncached)/choice.ReadPerMS + float64(r.Answer)*answerTokenMS
+}
--- a/entryd/relay/duty.go
+++ b/entryd/relay/duty.go
@@ -19,6 +19,7 @@
 		mutex    sync.Mutex
 		lease    lease.State
 		resigned bool
+		capacity *capacity
 
 		// final and sent belong to the goroutine of run: the windows whose counts are on the
 		// log, and those that the platform has confirmed.
@@ -50,7 +51,8 @@
 
 func newDuty(d *Daemon) *duty {
 	return &duty{
-		daemon: d, lease: lease.New(d.settings.Name, d.incarnation, d.settings.Bounds.Lease),
+		capacity: newCapacity(d),
+		daemon:   d, lease: lease.New(d.settings.Name, d.incarnation, d.settings.Bounds.Lease),
 		final: map[int64]usage.Counts{}, sent: map[int64]bool{}, loaded: noFence,
 	}
 }
@@ -96,6 +98,9 @@
 		if u.fence() > 0 && u.daemon.settings.ReportsUsage {
 			u.reportUsage(ctx)
 		}
+		if u.fence() > 0 && u.daemon.settings.OrdersEndpoints {
+			u.capacity.plan(ctx)
+		}
 	})
 }
 
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -50,6 +50,8 @@
 		// Put and Gone are changes of endpoints, for those that follow.
 		Put  []Record `cbor:"14,keyasint,omitempty"`
 		Gone []Record `cbor:"15,keyasint,omitempty"`
+		// Work is the engine time of what the sender has placed, in milliseconds by service.
+		Work map[string]int64 `cbor:"16,keyasint,omitempty"`
 	}
 
 	// totals are what a hub tells of all daemons.
@@ -303,6 +305,10 @@
 	for account, used := range t.quota.Used() {
 		m.Used[account] = int64(used)
 	}
+	m.Work = map[string]int64{}
+	for service, work := range t.work {
+		m.Work[service] = int64(work)
+	}
 	newest := int64(0)
 	own := t.usage.Own()
 	for window := range own {
@@ -327,7 +333,7 @@
 	if m.Follow {
 		p.followUntil = now.Add(followLasts)
 	}
-	p.heardAt, p.incarnation, p.loads, p.used = now, m.Incarnation, m.Loads, m.Used
+	p.heardAt, p.incarnation, p.loads, p.used, p.work = now, m.Incarnation, m.Loads, m.Used, m.Work
 	t.peers[m.Daemon] = p
 	counts := make(map[int64]usage.Counts, len(m.Counts))
 	for window, c := range m.Counts {
@@ -339,8 +345,11 @@
 	}
 }
 
-// keepUsed adds what an ended process had used to the sum, which must not fall.
+// keepUsed adds what an ended process had used and placed to the sums, which must not fall.
 func (t *tables) keepUsed(p peerLoads) {
+	for service, work := range p.work {
+		t.pastWork[service] += float64(work)
+	}
 	for account, used := range p.used {
 		t.pastUsed[account] += used
 	}
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -37,7 +37,10 @@
 		hubLoads   peerLoads
 		followsHub bool
 		hub        string
-		// pastUsed is what ended processes had used.
+		// work is the engine time of what this daemon has placed, in milliseconds by service.
+		work map[string]float64
+		// pastUsed and pastWork are those of ended processes.
+		pastWork map[string]float64
 		pastUsed map[string]int64
 		// list and hash are derived from the roster, and out of date while stale is set.
 		list      []setup.Endpoint
@@ -55,6 +58,7 @@
 		incarnation string
 		loads       map[uint32]load
 		used        map[string]int64
+		work        map[string]int64
 		// followUntil is when the daemon no longer follows this one.
 		followUntil time.Time
 	}
@@ -105,6 +109,7 @@
 		roster: roster.New(), health: health.New(settings), quota: quota.New(start),
 		usage: usage.New(s.Name, incarnation, window),
 		own:   map[string]choice.Load{}, peers: map[string]peerLoads{},
+		pastUsed: map[string]int64{}, work: map[string]float64{}, pastWork: map[string]float64{},
 		cached: map[cacheKey]cacheEntry{}, cacheTime: s.Bounds.CacheReuse,
 		misdirected: map[string]int64{},
 	}
@@ -351,6 +356,7 @@
 	if request.Model {
 		p.reading = float64(picked.Uncached)
 		p.memory = float64(request.Prompt + request.Answer)
+		t.work[service] += workOf(request, picked.Uncached)
 		for _, part := range call.Parts {
 			t.cached[cacheKey{endpoint: endpoint.ID, part: part.ID}] = cacheEntry{until: now.Add(t.cacheTime)}
 		}
