--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -74,6 +74,10 @@
 			return delivered, nil
 		}
 		if err != nil {
+			// What came before the fault is passed on, also if the stream is broken off.
+			if x.started {
+				_ = flusher.Flush()
+			}
 			return a.fault(err), err
 		}
 		if first {
