--- /dev/null
+++ b/decide/admit/admit_test.go
@@ -0,0 +1,75 @@
+package admit
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+)
+
+// TestRequests guards against requests that wait for an answer they can't get in time, and
+// against refusals while there is room.
+func TestRequests(t *testing.T) {
+	text, err := os.ReadFile("testdata/requests.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Times are in milliseconds.
+	var cases []struct {
+		Name       string `yaml:"Name"`
+		Wait       int    `yaml:"Wait"`
+		Own        int    `yaml:"Own"`
+		Target     int    `yaml:"Target"`
+		Left       int    `yaml:"Left"`
+		Rank       int    `yaml:"Rank"`
+		Admitted   bool   `yaml:"Admitted"`
+		RetryAfter int    `yaml:"RetryAfter"`
+	}
+	if err := yaml.UnmarshalWithOptions(text, &cases, yaml.Strict()); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	ms := func(count int) time.Duration { return time.Duration(count) * time.Millisecond }
+	for _, c := range cases {
+		v := Decide(Request{Wait: ms(c.Wait), Own: ms(c.Own), Target: ms(c.Target), Left: ms(c.Left), Rank: c.Rank}, now)
+		if v.Admitted != c.Admitted {
+			t.Errorf("%s: admitted is %v", c.Name, v.Admitted)
+		}
+		if got := v.RetryAt.Sub(now).Milliseconds(); !v.Admitted && got != int64(c.RetryAfter) {
+			t.Errorf("%s: retry after %d ms, want %d", c.Name, got, c.RetryAfter)
+		}
+	}
+}
+
+// TestOverload replays a load of three times the capacity against one engine, with and without
+// the decision, and guards against fewer answers in time with it.
+func TestOverload(t *testing.T) {
+	const (
+		target  = 600 * time.Millisecond
+		service = 60 * time.Millisecond
+		arrival = 20 * time.Millisecond
+		total   = 500
+	)
+	inTime := func(decide bool) int {
+		now := time.Unix(1000, 0)
+		free := now
+		count := 0
+		for range total {
+			now = now.Add(arrival)
+			wait := max(free.Sub(now), 0) + service
+			if decide && !Decide(Request{Wait: wait, Own: service, Target: target, Left: 3 * time.Second}, now).Admitted {
+				continue
+			}
+			free = now.Add(wait)
+			if wait <= target {
+				count++
+			}
+		}
+		return count
+	}
+	with, without := inTime(true), inTime(false)
+	if with < total/4 || with < 5*without {
+		t.Errorf("%d answers in time with the decision, %d without", with, without)
+	}
+}
--- a/decide/scale/scale.go
+++ b/decide/scale/scale.go
@@ -45,6 +45,8 @@
 		Scaling setup.Scaling
 		// Ready counts the endpoints that take requests.
 		Ready map[Kind]int
+		// Settled says that all endpoints have had the time to be known.
+		Settled bool
 		// Demand is the number of endpoints that the requests keep fully busy. It is negative
 		// while it is not known.
 		Demand float64
@@ -62,9 +64,7 @@
 
 	// Memory is what was ordered, and the size of the fleet before the demand was known.
 	Memory struct {
-		// startAt is when the first orders are sent.
-		startAt time.Time
-		first   int
+		first int
 		// held and firm are the aims of the last plan.
 		held, firm int
 		ordered    map[Kind]placedOrder
@@ -88,9 +88,6 @@
 	leastEndpoints = 3
 	// unknownCount stands for a kind that was not ordered yet.
 	unknownCount = -1
-	// startPause is how long endpoints may take to be known before the first orders: they
-	// register anew about once a second.
-	startPause = 3 * time.Second
 	// refusedPause follows a refused order.
 	refusedPause = 3 * time.Second
 	// lateMargin is how long after its boot time an ordered endpoint is taken not to come.
@@ -107,16 +104,20 @@
 		return p
 	}
 	p.aim(v, len(centres))
-	if v.Now.Before(p.Memory.startAt) {
+	if !v.Settled {
 		return p
 	}
-	want := map[Kind]int{}
-	v.spread(centres, p.Held, true, want)
-	reclaimable := 0
+	reclaimable := map[Kind]int{}
+	v.spread(centres, p.Held, reclaimable)
+	have := map[string]int{}
+	carried := 0
 	for _, c := range centres {
-		reclaimable += min(v.Ready[Kind{c, true}], want[Kind{c, true}])
+		kind := Kind{c, true}
+		have[c] = min(v.expected(kind), max(v.Ready[kind], reclaimable[kind]))
+		carried += min(v.Ready[kind], reclaimable[kind])
 	}
-	v.spread(centres, max(0, p.Firm-reclaimable), false, want)
+	want := v.fill(centres, max(0, p.Firm-carried), have)
+	maps.Copy(want, reclaimable)
 	for _, kind := range kinds(centres) {
 		if o, due := v.order(kind, want[kind]); due {
 			p.Orders = append(p.Orders, o)
@@ -128,9 +129,6 @@
 // aim sets the numbers that the plan aims at.
 func (p *Plan) aim(v View, centres int) {
 	m := &p.Memory
-	if m.startAt.IsZero() {
-		m.startAt = v.Now.Add(startPause)
-	}
 	total, firmReady := 0, 0
 	for kind, count := range v.Ready {
 		total += count
@@ -138,7 +136,7 @@
 			firmReady += count
 		}
 	}
-	if v.Now.Before(m.startAt) {
+	if !v.Settled || m.first == 0 {
 		m.first = max(m.first, total)
 	}
 	// A daemon that takes the duty over knows neither the demand nor what was ordered; it
@@ -162,28 +160,22 @@
 	return next
 }
 
-// spread adds a number of endpoints of a kind to the wanted ones: evenly if they may be
-// reclaimed, and otherwise at the cheapest data centres first.
-func (v View) spread(centres []string, count int, reclaimable bool, want map[Kind]int) {
-	room := func(c string) int {
-		return v.Scaling.Max - want[Kind{c, true}] - want[Kind{c, false}]
-	}
-	byPrice := slices.Clone(centres)
-	slices.SortStableFunc(byPrice, func(a, b string) int {
-		return cmp.Compare(v.Scaling.Prices[a], v.Scaling.Prices[b])
-	})
-	if !reclaimable {
-		for _, c := range byPrice {
-			given := min(count, room(c))
-			want[Kind{c, false}] += given
-			count -= given
-		}
-		return
+// expected returns how many endpoints of a kind are there or were ordered and may still come.
+func (v View) expected(kind Kind) int {
+	last, known := v.Memory.ordered[kind]
+	ready := v.Ready[kind]
+	if !known || v.Now.Before(last.refusedUntil) || v.Now.Sub(last.at) > v.Scaling.BootTime+lateMargin {
+		return ready
 	}
+	return max(ready, last.count)
+}
+
+// spread distributes reclaimable endpoints evenly, as far as the bounds allow.
+func (v View) spread(centres []string, count int, want map[Kind]int) {
 	for left := count; left > 0; {
 		given := 0
-		for _, c := range byPrice {
-			if left > 0 && room(c) > 0 {
+		for _, c := range v.byPrice(centres) {
+			if left > 0 && want[Kind{c, true}] < v.Scaling.Max {
 				want[Kind{c, true}]++
 				left--
 				given++
@@ -195,6 +187,39 @@
 	}
 }
 
+// fill distributes firm endpoints. Those that are there stay where they are; more go to the
+// cheapest data centres that have room beside the given numbers of others, and fewer leave the
+// dearest ones.
+func (v View) fill(centres []string, count int, others map[string]int) map[Kind]int {
+	want := map[Kind]int{}
+	sorted := v.byPrice(centres)
+	for _, c := range sorted {
+		kind := Kind{c, false}
+		want[kind] = min(v.expected(kind), max(0, v.Scaling.Max-others[c]))
+		count -= want[kind]
+	}
+	for _, c := range sorted {
+		more := max(0, min(count, v.Scaling.Max-others[c]-want[Kind{c, false}]))
+		want[Kind{c, false}] += more
+		count -= more
+	}
+	slices.Reverse(sorted)
+	for _, c := range sorted {
+		fewer := max(0, min(-count, want[Kind{c, false}]))
+		want[Kind{c, false}] -= fewer
+		count += fewer
+	}
+	return want
+}
+
+func (v View) byPrice(centres []string) []string {
+	sorted := slices.Clone(centres)
+	slices.SortStableFunc(sorted, func(a, b string) int {
+		return cmp.Compare(v.Scaling.Prices[a], v.Scaling.Prices[b])
+	})
+	return sorted
+}
+
 // order returns an order for a kind if one is due: more are wanted than were ordered or came,
 // or clearly fewer.
 func (v View) order(kind Kind, want int) (Order, bool) {
--- a/decide/scale/scale_test.go
+++ b/decide/scale/scale_test.go
@@ -64,7 +64,7 @@
 		for c, count := range step.Reclaimable {
 			ready[Kind{c, true}] = count
 		}
-		plan := Make(View{Scaling: scaling, Ready: ready, Demand: step.Demand, Memory: memory, Now: now})
+		plan := Make(View{Scaling: scaling, Ready: ready, Demand: step.Demand, Memory: memory, Settled: step.At > 2, Now: now})
 		memory = plan.Memory
 		var got []string
 		for _, o := range plan.Orders {
--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -27,6 +27,9 @@
 const (
 	// planInterval is the pause between two plans; a reclaim notice leaves about two seconds.
 	planInterval = 400 * time.Millisecond
+	// settlePause is how long endpoints may take to be known: they register anew about once a
+	// second, and some only seconds after the daemons start.
+	settlePause = 3 * time.Second
 	// answerTokenMS is the time of an engine that one generated token takes, shared by the
 	// requests that run beside it.
 	answerTokenMS = 0.5
@@ -58,6 +61,7 @@
 		f.demand = f.demand.With(work, now)
 		plan := scale.Make(scale.View{
 			Scaling: *service.Scaling, Ready: ready, Demand: f.demand.Endpoints(), Memory: f.memory, Now: now,
+			Settled: d.tables.settled(now),
 		})
 		f.memory = plan.Memory
 		for _, o := range plan.Orders {
@@ -112,6 +116,14 @@
 	return ready, work / 1000
 }
 
+// settled reports whether the endpoints have been listed for long enough that all that live
+// are known.
+func (t *tables) settled(now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.listed && now.Sub(t.listedAt) > settlePause
+}
+
 // workOf returns the time of an engine that a request takes, in milliseconds.
 func workOf(r choice.Request, uncached int) float64 {
 	return float64(uncached)/choice.ReadPerMS + float64(r.Answer)*answerTokenMS
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/decide/retry"
@@ -84,6 +85,11 @@
 			x.finish(notSent, "NoEndpoint")
 			return
 		}
+		if verdict := x.weigh(picked); !verdict.Admitted {
+			d.tables.end(placed)
+			x.overloaded(verdict, picked)
+			return
+		}
 		result := x.attempt(ctx, endpoint, picked, placed, sends)
 		d.tables.end(placed)
 		d.meters.count("Attempts." + string(result))
@@ -119,6 +125,33 @@
 	}
 }
 
+// weigh decides whether the request may go to the endpoint with the least wait.
+func (x *exchange) weigh(picked choice.Picked) admit.Verdict {
+	now := x.daemon.clock.now()
+	if x.started {
+		// What has begun is finished.
+		return admit.Verdict{Admitted: true}
+	}
+	return admit.Decide(admit.Request{
+		Wait: milliseconds(picked.Wait), Own: milliseconds(float64(picked.Uncached) / choice.ReadPerMS),
+		Target: x.route.Target, Left: x.deadline.Sub(now), Rank: x.route.Priority,
+	}, now)
+}
+
+// overloaded refuses a request for which no endpoint has room in time.
+func (x *exchange) overloaded(verdict admit.Verdict, picked choice.Picked) {
+	if x.mayHaveRun || x.failure != nil {
+		x.finish(broken, "Overload")
+		return
+	}
+	x.refuse(http.StatusServiceUnavailable, "Overload", verdict.RetryAt, "Predicted", int(picked.Wait),
+		"Limit", verdict.Limit.Milliseconds(), "Load", picked.Candidate.Load.Requests)
+}
+
+func milliseconds(count float64) time.Duration {
+	return time.Duration(count * float64(time.Millisecond))
+}
+
 // mayRepeat reports whether the request may be sent again although it may have run.
 func (x *exchange) mayRepeat() bool { return x.route.Repeatable() }
 
@@ -164,8 +197,7 @@
 // judge tells the health judgement how an attempt at the endpoint ended.
 func (x *exchange) judge(endpoint setup.Endpoint, kind health.OutcomeKind, picked choice.Picked, sentAt time.Time) {
 	now := x.daemon.clock.now()
-	predicted := time.Duration(picked.Wait * float64(time.Millisecond))
-	for _, c := range x.daemon.tables.judge(endpoint, kind, predicted, now.Sub(sentAt), now) {
+	for _, c := range x.daemon.tables.judge(endpoint, kind, milliseconds(picked.Wait), now.Sub(sentAt), now) {
 		if changed, ok := c.(health.Changed); ok {
 			x.daemon.logger.WithName("health").Info("Standing changed.", "Endpoint", changed.Instance,
 				"State", changed.Standing.State, "Reason", changed.Reason, "AvoidUntil", changed.Standing.AvoidUntil)
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -26,11 +26,13 @@
 		config *setup.Config
 		raw    map[Stream]map[string]Record
 		roster roster.State
-		listed bool
-		health health.Aggregate
-		quota  *quota.State
-		usage  *usage.State
-		own    map[string]choice.Load
+		// listed says that all endpoints were read, listedAt when they first were.
+		listed   bool
+		listedAt time.Time
+		health   health.Aggregate
+		quota    *quota.State
+		usage    *usage.State
+		own      map[string]choice.Load
 		// peers are the daemons that tell this one their loads, hubLoads what the own hub tells
 		// of all; which of the two counts depends on followsHub.
 		peers      map[string]peerLoads
@@ -161,7 +163,9 @@
 func (t *tables) complete(end int64, ids []string, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.listed = true
+	if !t.listed {
+		t.listed, t.listedAt = true, now
+	}
 	return t.update(roster.Listed{End: end, IDs: ids, Now: now}, now)
 }
 
