relay: daemons greet each other; hubs agree on who lives

A test with daemons that go down and come back showed two further ways to split. Change: every daemon greets every other one; a hub is the first live one by that.

--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -19,12 +19,14 @@
 )
 
 type (
-	// gossip exchanges messages with the other daemons in datagrams: each daemon tells the
-	// hubs its digest, and a hub tells those that follow it the totals of all others.
+	// gossip exchanges messages with the other daemons in datagrams: each daemon greets
+	// all others and tells the hubs its digest, and a hub tells those that follow it the totals of all others.
 	gossip struct {
 		daemon *Daemon
 		conn   atomic.Pointer[net.UDPConn]
 		sentAt time.Time
+		// greetedAt is when the others were last greeted.
+		greetedAt time.Time
 	}
 
 	// message is a datagram. Numbers stand for names to keep it small.
@@ -36,6 +38,8 @@
 		Speed       float64 `cbor:"5,keyasint"`
 		Config      int64   `cbor:"6,keyasint,omitempty"`
 		TimeMS      int64   `cbor:"7,keyasint"`
+		// Digest says that the message is a digest; a greeting has nothing else.
+		Digest bool `cbor:"18,keyasint,omitempty"`
 		// Loads and Used are the sender's own in a digest; those of all daemons but the
 		// receiver in totals.
 		Loads map[uint32]load  `cbor:"8,keyasint,omitempty"`
@@ -56,8 +60,7 @@
 
 	// totals are what a hub tells of all daemons.
 	totals struct {
-		Daemons int      `cbor:"1,keyasint"`
-		Alive   []uint32 `cbor:"2,keyasint"`
+		Daemons int `cbor:"1,keyasint"`
 		// OperatorsAgeMS and EndpointsAgeMS are the times since the hub's last read of the
 		// streams' ends.
 		OperatorsAgeMS int64 `cbor:"3,keyasint"`
@@ -165,7 +168,7 @@
 		g.takeTotals(m, now)
 	case len(m.Put)+len(m.Gone) > 0:
 		g.takeNews(m, now)
-	default:
+	case m.Digest:
 		d.tables.heard(m, now)
 	}
 }
@@ -177,7 +180,6 @@
 	if own || hub.Name != m.Daemon {
 		return
 	}
-	d.members.setAlive(m.Totals.Alive, now)
 	d.tables.heardTotals(m, now)
 	d.feed.heard(*m.Totals, now)
 }
@@ -205,14 +207,15 @@
 		return
 	}
 	g.sentAt = now
-	hubs := d.members.hubs(now)
 	hub, own := d.members.follow(now)
 	if own {
 		d.tables.leaveHub(now)
 	}
+	g.greet(now)
 	digest := d.tables.digest()
+	digest.Digest = true
 	g.sign(&digest)
-	for _, h := range hubs {
+	for _, h := range d.members.hubs(now) {
 		if h.Name == d.settings.Name {
 			continue
 		}
@@ -222,6 +225,20 @@
 	g.sendTotals(now)
 }
 
+// greet tells all daemons that this one lives.
+func (g *gossip) greet(now time.Time) {
+	addresses, interval := g.daemon.members.greeted()
+	if now.Sub(g.greetedAt) < interval-digestInterval/2 {
+		return
+	}
+	g.greetedAt = now
+	var greeting message
+	g.sign(&greeting)
+	for _, address := range addresses {
+		g.send(greeting, address)
+	}
+}
+
 // sendTotals tells the daemons that follow this one.
 func (g *gossip) sendTotals(now time.Time) {
 	d := g.daemon
@@ -229,15 +246,11 @@
 	if len(followers) == 0 {
 		return
 	}
-	heard := d.members.heardSince(now.Add(-aliveLasts))
-	t := totals{Daemons: d.members.count(), Alive: make([]uint32, 0, len(heard))}
-	for _, k := range heard {
-		t.Alive = append(t.Alive, shortID(k.Name))
-	}
+	t := totals{Daemons: d.members.count()}
 	d.feed.fill(&t, now)
 	t.Roster = d.tables.rosterHash(now)
 	sums := d.tables.sums(now)
-	for _, k := range heard {
+	for _, k := range d.members.heardSince(now.Add(-followLasts)) {
 		if !followers[k.Name] {
 			continue
 		}
--- a/entryd/relay/members.go
+++ b/entryd/relay/members.go
@@ -15,8 +15,8 @@
 	// members are the daemons as the log and their messages tell, and which of them are the
 	// hubs. A hub reads the log for the daemons of its data centre and sums up the loads and
 	// uses of all daemons for them; the others tell the hubs of all data centres their own.
-	// There is no election: each daemon takes the first live daemon of a data centre for its
-	// hub, and a daemon that is told something answers as one.
+	// There is no election: every daemon greets every other one, takes the first live daemon
+	// of a data centre for its hub, and answers as a hub to those that ask it.
 	members struct {
 		self member
 
@@ -25,9 +25,6 @@
 		// hub is the daemon that this one follows, and hubSince when it began to.
 		hub      string
 		hubSince time.Time
-		// alive are the daemons that the hub hears, by their short identifiers.
-		alive   map[uint32]bool
-		aliveAt time.Time
 	}
 
 	// member is a daemon.
@@ -55,8 +52,12 @@
 	hubSilent = 700 * time.Millisecond
 	// suspectFor is how long a silent hub is passed over unless it is heard.
 	suspectFor = 5 * time.Second
-	// aliveLasts is how long a hub's list of live daemons counts.
-	aliveLasts = 1500 * time.Millisecond
+	// greetInterval is the pause between greetings of up to greetDaemons; with more daemons it
+	// grows with their number, so that a daemon's work does not.
+	greetInterval = 300 * time.Millisecond
+	greetDaemons  = 20
+	// greetLasts is the number of intervals for which a greeting counts.
+	greetLasts = 3
 	// memberInterval is the pause between reads of the daemons' records, startInterval that
 	// of a daemon that has just started.
 	memberInterval = 15 * time.Second
@@ -103,7 +104,7 @@
 	case !ok:
 		from.listedAt = now
 		m.known[from.Name] = &from
-	case known.Incarnation != from.Incarnation && now.Sub(known.heardAt) > aliveLasts:
+	case known.Incarnation != from.Incarnation && now.Sub(known.heardAt) > m.lasts():
 		from.listedAt, from.heardAt = now, known.heardAt
 		*known = from
 	default:
@@ -144,18 +145,21 @@
 	return hubs
 }
 
-// live reports whether a daemon may be taken for a hub.
+// interval returns the pause between greetings.
+func (m *members) interval() time.Duration {
+	return greetInterval * time.Duration(max(greetDaemons, len(m.known))) / greetDaemons
+}
+
+// lasts returns how long a greeting counts.
+func (m *members) lasts() time.Duration { return greetLasts * m.interval() }
+
+// live reports whether a daemon may be taken for a hub: it was heard lately, or its record is
+// so new that it may not have greeted yet.
 func (m *members) live(k *member, now time.Time) bool {
-	if now.Sub(k.heardAt) < hubSilent {
-		return true
-	}
-	if !k.suspectAt.IsZero() && now.Sub(k.suspectAt) < suspectFor {
+	if !k.suspectAt.IsZero() && now.Sub(k.suspectAt) < suspectFor && !k.heardAt.After(k.suspectAt) {
 		return false
 	}
-	if now.Sub(m.aliveAt) < aliveLasts {
-		return m.alive[shortID(k.Name)] || now.Sub(k.listedAt) < suspectFor && k.heardAt.IsZero()
-	}
-	return true
+	return now.Sub(k.heardAt) < m.lasts() || k.heardAt.IsZero() && now.Sub(k.listedAt) < suspectFor
 }
 
 // before reports whether a daemon is a hub rather than the other: the faster machine, then
@@ -180,15 +184,15 @@
 	return hub, hub.Name == m.self.Name
 }
 
-// setAlive takes in the list of daemons that the own hub hears.
-func (m *members) setAlive(ids []uint32, now time.Time) {
+// greeted returns the daemons that are greeted: all that are known, since one that is not
+// heard may be waiting to hear.
+func (m *members) greeted() (addresses []string, interval time.Duration) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.alive = make(map[uint32]bool, len(ids))
-	for _, id := range ids {
-		m.alive[id] = true
+	for _, k := range m.known {
+		addresses = append(addresses, k.Address)
 	}
-	m.aliveAt = now
+	return addresses, m.interval()
 }
 
 // heardSince returns the daemons that were heard after a time.
--- /dev/null
+++ b/entryd/relay/members_test.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// group is a set of daemons that greet each other.
+type group struct {
+	now     time.Time
+	daemons []*members
+	down    map[string]bool
+}
+
+func newGroup(centres, each int) *group {
+	g := &group{now: time.Unix(1000, 0), down: map[string]bool{}}
+	for c := range centres {
+		for i := range each {
+			s := Settings{Name: fmt.Sprintf("entry-%d-%d", c, i), DataCentre: fmt.Sprint("centre-", c), Speed: 1, PeerListen: "a"}
+			g.daemons = append(g.daemons, newMembers(s, "1"))
+		}
+	}
+	for _, m := range g.daemons {
+		for _, other := range g.daemons {
+			if m != other {
+				m.listed(other.self, g.now)
+			}
+		}
+	}
+	return g
+}
+
+// run lets the daemons greet each other for a time.
+func (g *group) run(length time.Duration) {
+	for end := g.now.Add(length); g.now.Before(end); g.now = g.now.Add(greetInterval) {
+		for _, m := range g.daemons {
+			for _, other := range g.daemons {
+				if m != other && !g.down[m.self.Name] && !g.down[other.self.Name] {
+					other.heard(m.self, g.now)
+				}
+			}
+			m.follow(g.now)
+		}
+	}
+}
+
+// check reports the daemons that do not tell the hub of each data centre their digest.
+func (g *group) check(t *testing.T, when string) {
+	t.Helper()
+	hubs := map[string]string{}
+	for _, m := range g.daemons {
+		if g.down[m.self.Name] {
+			continue
+		}
+		for centre, h := range m.hubs(g.now) {
+			if g.down[h.Name] {
+				t.Errorf("%s: %s takes %s for a hub, which is down", when, m.self.Name, h.Name)
+			}
+			if known, ok := hubs[centre]; ok && known != h.Name {
+				t.Errorf("%s: %s takes %s for the hub of %s, others take %s", when, m.self.Name, h.Name, centre, known)
+			}
+			hubs[centre] = h.Name
+		}
+	}
+}
+
+// TestHubsAgree guards against daemons that take different daemons for the hub of a data
+// centre, or one that is gone: the counts and loads of those that tell the wrong one are
+// missing from the totals.
+func TestHubsAgree(t *testing.T) {
+	g := newGroup(3, 4)
+	g.run(4 * time.Second)
+	g.check(t, "after the start")
+	for round := range 3 {
+		hub := g.daemons[0].hubs(g.now)["centre-1"].Name
+		g.down[hub] = true
+		g.run(9 * time.Second)
+		g.check(t, fmt.Sprint("after hub ", round, " went down"))
+	}
+	g.down = map[string]bool{}
+	g.run(9 * time.Second)
+	g.check(t, "after all came back")
+}
