duty: hand the known demand on to the next holder

Cause: a daemon that takes the duty over knew no demand for 6 s and planned with the endpoints that a reclaim had left. Change: the lease's record carries the demands that its holder knows.

--- a/decide/lease/lease.go
+++ b/decide/lease/lease.go
@@ -30,6 +30,8 @@
 		// Fence rises with each change of the holder.
 		Fence   int64 `json:"Fence"`
 		Renewal int64 `json:"Renewal"`
+		// Note is what the holder hands on to its successor.
+		Note string `json:"Note"`
 	}
 
 	// Action is what to do next; nil means to wait.
@@ -64,6 +66,7 @@
 		// actUntil ends this daemon's holding; renewAt is when it renews.
 		actUntil time.Time
 		renewAt  time.Time
+		note     string
 	}
 )
 
@@ -99,9 +102,10 @@
 		}
 		next := s.record
 		next.Renewal++
+		next.Note = s.note
 		return Append{Record: next, At: s.end}
 	}
-	takeover := Append{Record: Record{Holder: s.self, Incarnation: s.incarnation, Fence: s.end + 1}, At: s.end}
+	takeover := Append{Record: Record{Holder: s.self, Incarnation: s.incarnation, Fence: s.end + 1, Note: s.record.Note}, At: s.end}
 	switch {
 	case s.record.Holder == "":
 		return takeover
@@ -145,6 +149,15 @@
 	return s
 }
 
+// WithNote returns the state with what the next record hands on.
+func (s State) WithNote(note string) State {
+	s.note = note
+	return s
+}
+
+// Note returns what the newest record hands on.
+func (s State) Note() string { return s.record.Note }
+
 // WithUnknown returns the state after an append that failed, conflicted or was not answered.
 // What is on the log must be read again.
 func (s State) WithUnknown() State {
--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"math"
 	"time"
 
 	"lentilstage.dev/decide/choice"
@@ -22,6 +24,8 @@
 type fleet struct {
 	demand scale.Demand
 	memory scale.Memory
+	// noted is the demand that the last holder has noted; 0 without one.
+	noted float64
 }
 
 const (
@@ -39,6 +43,50 @@
 	return &capacity{daemon: d, services: map[string]*fleet{}}
 }
 
+// note returns the demand of each service for the next holder of the duty.
+func (c *capacity) note() string {
+	demands := map[string]float64{}
+	for name, f := range c.services {
+		if demand := f.known(); demand >= 0 {
+			demands[name] = math.Round(demand*10) / 10
+		}
+	}
+	note, err := json.Marshal(demands)
+	if err != nil {
+		c.daemon.duty.log("Note can't be encoded.", "Error", err.Error())
+		return ""
+	}
+	return string(note)
+}
+
+// takeOver starts from the demands that the last holder has noted.
+func (c *capacity) takeOver(note string) {
+	c.services = map[string]*fleet{}
+	if note == "" {
+		return
+	}
+	demands := map[string]float64{}
+	if err := json.Unmarshal([]byte(note), &demands); err != nil {
+		c.daemon.duty.log("Note can't be read.", "Note", note, "Error", err.Error())
+		return
+	}
+	for name, demand := range demands {
+		c.services[name] = &fleet{noted: demand}
+	}
+}
+
+// known returns the demand that the daemon has seen itself, or else the one that the last
+// holder noted; it is negative without either.
+func (f *fleet) known() float64 {
+	if own := f.demand.Endpoints(); own >= 0 {
+		return own
+	}
+	if f.noted > 0 {
+		return f.noted
+	}
+	return -1
+}
+
 // plan makes the plan of each service and sends its orders.
 func (c *capacity) plan(ctx context.Context) {
 	d := c.daemon
@@ -60,7 +108,7 @@
 		ready, work := d.tables.fleet(name, now)
 		f.demand = f.demand.With(work, now)
 		plan := scale.Make(scale.View{
-			Scaling: *service.Scaling, Ready: ready, Demand: f.demand.Endpoints(), Memory: f.memory, Now: now,
+			Scaling: *service.Scaling, Ready: ready, Demand: f.known(), Memory: f.memory, Now: now,
 			Settled: d.tables.settled(now),
 		})
 		f.memory = plan.Memory
@@ -85,7 +133,7 @@
 	now := d.clock.now()
 	fields := []any{
 		"Service", service, "DataCentre", o.DataCentre, "Reclaimable", o.Reclaimable, "Count", o.Count, "Fence", fence,
-		"Demand", f.demand.Endpoints(), "Held", plan.Held, "Firm", plan.Firm,
+		"Demand", f.known(), "Held", plan.Held, "Firm", plan.Firm,
 	}
 	if err != nil {
 		d.meters.count("Orders.Refused")
--- a/entryd/relay/duty.go
+++ b/entryd/relay/duty.go
@@ -107,6 +107,7 @@
 // keepLease makes the lease's next step.
 func (u *duty) keepLease(ctx context.Context) {
 	u.mutex.Lock()
+	u.lease = u.lease.WithNote(u.capacity.note())
 	action := u.lease.Next(u.daemon.clock.boot())
 	before := u.lease
 	u.mutex.Unlock()
@@ -137,7 +138,8 @@
 		}
 		next = before.WithAppended(a, end, sentAt)
 		if a.Record.Renewal == 0 {
-			u.log("Duty taken.", "Fence", a.Record.Fence)
+			u.log("Duty taken.", "Fence", a.Record.Fence, "Note", a.Record.Note)
+			u.capacity.takeOver(a.Record.Note)
 		}
 	default:
 		return
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -149,14 +149,14 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.raw[Endpoints][record.Key] = record
-	return t.update(roster.Put{Offset: record.Offset, Endpoint: endpoint, Now: now}, now)
+	return t.update(roster.Put{Offset: record.Offset, Endpoint: endpoint, Now: now})
 }
 
 // drop takes in the end of an endpoint's record.
 func (t *tables) drop(record Record, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.update(roster.Drop{Offset: record.Offset, ID: record.Key, Now: now}, now)
+	return t.update(roster.Drop{Offset: record.Offset, ID: record.Key, Now: now})
 }
 
 // complete says that all records of endpoints up to the end were read.
@@ -166,7 +166,7 @@
 	if !t.listed {
 		t.listed, t.listedAt = true, now
 	}
-	return t.update(roster.Listed{End: end, IDs: ids, Now: now}, now)
+	return t.update(roster.Listed{End: end, IDs: ids, Now: now})
 }
 
 // storeState says whether the log answers.
@@ -174,16 +174,16 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if up {
-		return t.update(roster.Returned{Now: now}, now)
+		return t.update(roster.Returned{Now: now})
 	}
-	return t.update(roster.Lost{Now: now}, now)
+	return t.update(roster.Lost{Now: now})
 }
 
 // elapsed lets time pass.
 func (t *tables) elapsed(now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	changes := t.update(roster.Elapsed{Now: now}, now)
+	changes := t.update(roster.Elapsed{Now: now})
 	t.refresh(now)
 	t.health, _ = t.health.Update(health.Tick{Time: now})
 	if len(t.cached) > maxCached {
@@ -197,7 +197,7 @@
 }
 
 // update changes the roster and tells the health judgement of joined and gone endpoints.
-func (t *tables) update(m roster.Message, now time.Time) []roster.Change {
+func (t *tables) update(m roster.Message) []roster.Change {
 	var changes []roster.Change
 	t.roster, changes = t.roster.Update(m)
 	for _, c := range changes {
@@ -230,7 +230,7 @@
 func (t *tables) gone(record Record, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.update(roster.End{Offset: record.Offset, ID: record.Key}, now)
+	return t.update(roster.End{Offset: record.Offset, ID: record.Key})
 }
 
 // news returns a message with changes of endpoints.
