shift, relay: roll-outs by evidence, told under status

Cause: an order to roll out a version was ignored, so that a bad version got its even part. Change: decide/shift; a small part goes to the new version, answers are summed over all daemons, the holder of the duty writes the verdict.

--- a/decide/choice/choice.go
+++ b/decide/choice/choice.go
@@ -55,6 +55,7 @@
 	// Candidate is an endpoint that may get the request.
 	Candidate struct {
 		ID         string
+		Version    string
 		DataCentre string
 		Slots      int
 		// Memory is the number of tokens that the engine can keep; 0 if unknown.
--- a/entryd/relay/duty.go
+++ b/entryd/relay/duty.go
@@ -98,6 +98,9 @@
 		if u.fence() > 0 && u.daemon.settings.ReportsUsage {
 			u.reportUsage(ctx)
 		}
+		if u.fence() > 0 {
+			u.tellRollouts(ctx)
+		}
 		if u.daemon.settings.OrdersEndpoints && u.capacity.look() && u.fence() > 0 {
 			u.capacity.plan(ctx)
 		}
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -44,6 +44,8 @@
 		// receiver in totals.
 		Loads map[uint32]load  `cbor:"8,keyasint,omitempty"`
 		Used  map[string]int64 `cbor:"9,keyasint,omitempty"`
+		// Outcomes are those of the services in a roll-out.
+		Outcomes map[string]outcomes `cbor:"21,keyasint,omitempty"`
 		// Recent is the part of Used by processes that have just started, AgeMS the time since the
 		// sender's start.
 		Recent map[string]int64 `cbor:"19,keyasint,omitempty"`
@@ -62,6 +64,13 @@
 		Work map[string]int64 `cbor:"16,keyasint,omitempty"`
 	}
 
+	// outcomes are the answers of the new version in a roll-out that a daemon has got.
+	outcomes struct {
+		Target string `cbor:"1,keyasint"`
+		Good   int64  `cbor:"2,keyasint"`
+		Bad    int64  `cbor:"3,keyasint"`
+	}
+
 	// totals are what a hub tells of all daemons.
 	totals struct {
 		Daemons int `cbor:"1,keyasint"`
@@ -201,7 +210,7 @@
 		d.takeEndpoint(r)
 	}
 	for _, r := range m.Gone {
-		d.logChanges(d.tables.gone(r, now))
+		d.logChanges(d.tables.gone(r))
 	}
 }
 
@@ -330,6 +339,10 @@
 	for service, work := range t.work {
 		m.Work[service] = int64(work)
 	}
+	m.Outcomes = map[string]outcomes{}
+	for service, r := range t.rollouts {
+		m.Outcomes[service] = outcomes{Target: r.order.Target, Good: r.good, Bad: r.bad}
+	}
 	newest := int64(0)
 	own := t.usage.Own()
 	for window := range own {
@@ -358,7 +371,7 @@
 	if p.young = m.AgeMS < youngAge.Milliseconds(); p.young {
 		recent = amounts(m.Used)
 	}
-	p.heardAt, p.incarnation, p.loads, p.used, p.work = now, m.Incarnation, m.Loads, m.Used, m.Work
+	p.heardAt, p.incarnation, p.loads, p.used, p.work, p.outcomes = now, m.Incarnation, m.Loads, m.Used, m.Work, m.Outcomes
 	t.peers[m.Daemon] = p
 	counts := make(map[int64]usage.Counts, len(m.Counts))
 	for window, c := range m.Counts {
@@ -390,7 +403,7 @@
 		t.followsHub, t.hub = true, m.Daemon
 		t.quota.Update(quota.Reset{Now: now})
 	}
-	t.hubLoads = peerLoads{heardAt: now, loads: m.Loads}
+	t.hubLoads = peerLoads{heardAt: now, loads: m.Loads, outcomes: m.Outcomes}
 	t.quota.Update(quota.Heard{
 		Daemon: hubName, Incarnation: m.Daemon + m.Incarnation, Used: amounts(m.Used), Recent: amounts(m.Recent),
 		Daemons: max(m.Totals.Daemons-1, 1), Now: now,
@@ -452,7 +465,10 @@
 	loads  map[uint32]load
 	used   map[string]int64
 	recent map[string]int64
-	peers  map[string]peerLoads
+	// outcomes are those of all daemons: a daemon that follows counts its own twice, which
+	// stops a bad version no later.
+	outcomes map[string]outcomes
+	peers    map[string]peerLoads
 }
 
 // sums returns the loads and uses of all daemons, this one included, which may be young.
@@ -460,7 +476,9 @@
 	own := t.digest()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	s := sums{loads: own.Loads, used: own.Used, recent: map[string]int64{}, peers: map[string]peerLoads{}}
+	s := sums{
+		loads: own.Loads, used: own.Used, recent: map[string]int64{}, outcomes: own.Outcomes, peers: map[string]peerLoads{},
+	}
 	if young {
 		s.recent = maps.Clone(own.Used)
 	}
@@ -469,6 +487,12 @@
 	}
 	for name, p := range t.peers {
 		s.peers[name] = p
+		for service, o := range p.outcomes {
+			sum := s.outcomes[service]
+			if sum.Target == "" || sum.Target == o.Target {
+				s.outcomes[service] = outcomes{Target: o.Target, Good: sum.Good + o.Good, Bad: sum.Bad + o.Bad}
+			}
+		}
 		for account, used := range p.used {
 			s.used[account] += used
 			if p.young {
@@ -489,7 +513,7 @@
 // without returns the sums without the part of one daemon.
 func (s sums) without(daemon string) message {
 	p := s.peers[daemon]
-	m := message{Loads: maps.Clone(s.loads), Used: maps.Clone(s.used), Recent: maps.Clone(s.recent)}
+	m := message{Loads: maps.Clone(s.loads), Used: maps.Clone(s.used), Recent: maps.Clone(s.recent), Outcomes: s.outcomes}
 	for account, used := range p.used {
 		m.Used[account] -= used
 		if p.young {
--- /dev/null
+++ b/entryd/relay/rollout.go
@@ -0,0 +1,143 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lentilstage.dev/decide/choice"
+	"lentilstage.dev/decide/health"
+	"lentilstage.dev/decide/shift"
+	"lentilstage.dev/domain/setup"
+)
+
+// rollout is a roll-out of a service with this daemon's count of the new version's answers.
+type rollout struct {
+	order Rollout
+	state shift.State
+	good  int64
+	bad   int64
+	told  shift.Verdict
+}
+
+// takeRollout takes in a record of the operators that may order a roll-out.
+func (d *Daemon) takeRollout(r Record) {
+	order, err := d.codec.Rollout(r)
+	if errors.Is(err, ErrOtherRecord) {
+		return
+	}
+	if err != nil {
+		d.logger.WithName("rollout").Info("Record can't be used.", "Key", r.Key, "Offset", r.Offset, "Error", err.Error())
+		return
+	}
+	if d.tables.rollOut(order, d.clock.now()) {
+		d.logger.WithName("rollout").Info("Roll-out ordered.", "Service", order.Service, "Target", order.Target, "Length", order.Length)
+	}
+}
+
+// rollOut begins a roll-out unless it is known, and reports whether it is new.
+func (t *tables) rollOut(order Rollout, now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if known, ok := t.rollouts[order.Service]; ok && known.order == order {
+		return false
+	}
+	t.rollouts[order.Service] = &rollout{order: order, state: shift.New(order.Target, now.Add(order.Length), now)}
+	return true
+}
+
+// byVersion returns the candidates of the version that a request of a service in a roll-out
+// goes to. Where only one version is left, the roll-out has ended.
+func (t *tables) byVersion(service string, candidates []choice.Candidate, random float64) []choice.Candidate {
+	r, ok := t.rollouts[service]
+	if !ok {
+		return candidates
+	}
+	var fresh, old []choice.Candidate
+	for _, c := range candidates {
+		if c.Version == r.state.Target {
+			fresh = append(fresh, c)
+		} else {
+			old = append(old, c)
+		}
+	}
+	if len(old) == 0 || len(fresh) > 0 && r.state.ToNew(random) {
+		return fresh
+	}
+	return old
+}
+
+// count counts an answer of a version in a roll-out.
+func (t *tables) count(endpoint setup.Endpoint, kind health.OutcomeKind) {
+	r, ok := t.rollouts[endpoint.Service]
+	if !ok || endpoint.Version != r.state.Target {
+		return
+	}
+	if kind == health.Succeeded {
+		r.good++
+	} else {
+		r.bad++
+	}
+	t.sumOutcomes(r)
+}
+
+// sumOutcomes gives the roll-out the answers that all daemons have told.
+func (t *tables) sumOutcomes(r *rollout) {
+	good, bad := r.good, r.bad
+	add := func(p peerLoads) {
+		if o, ok := p.outcomes[r.order.Service]; ok && o.Target == r.order.Target {
+			good += o.Good
+			bad += o.Bad
+		}
+	}
+	add(t.hubLoads)
+	for _, p := range t.peers {
+		add(p)
+	}
+	r.state = r.state.WithOutcomes(good, bad)
+}
+
+// verdicts returns the roll-outs whose verdict was not told yet.
+func (t *tables) verdicts(now time.Time) map[Rollout]shift.Verdict {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	changed := map[Rollout]shift.Verdict{}
+	for _, r := range t.rollouts {
+		t.sumOutcomes(r)
+		ended := r.told == shift.Completed || r.told == shift.RolledBack
+		if v := r.state.Verdict(now); v != r.told && !ended {
+			changed[r.order] = v
+		}
+	}
+	return changed
+}
+
+// tellRollouts writes the verdicts for the operators. Only the holder of the duty does.
+func (u *duty) tellRollouts(ctx context.Context) {
+	d := u.daemon
+	for order, verdict := range d.tables.verdicts(d.clock.now()) {
+		key, value, err := d.codec.RolloutStatus(order, verdict)
+		if err != nil {
+			u.log("Status can't be encoded.", "Service", order.Service, "Error", err.Error())
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		_, err = d.store.Append(call, Status, AnyOffset, key, value)
+		cancel()
+		if err != nil {
+			u.log("Status not written.", "Service", order.Service, "Verdict", verdict, "Error", err.Error())
+			continue
+		}
+		d.tables.told(order, verdict)
+		u.log("Status written.", "Service", order.Service, "Target", order.Target, "Verdict", verdict)
+	}
+}
+
+// told notes a verdict that the operators can read.
+func (t *tables) told(order Rollout, v shift.Verdict) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if r, ok := t.rollouts[order.Service]; ok && r.order == order {
+		r.told = v
+	}
+}
--- a/entryd/relay/seams.go
+++ b/entryd/relay/seams.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"lentilstage.dev/decide/choice"
+	"lentilstage.dev/decide/shift"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -92,6 +93,14 @@
 		Body   []byte
 	}
 
+	// Rollout is an order of the operators to move a service to a version.
+	Rollout struct {
+		Service string
+		Target  string
+		// Length is the time within which it must have ended.
+		Length time.Duration
+	}
+
 	// Send is what the daemon adds to a call for one endpoint.
 	Send struct {
 		Endpoint string
@@ -129,19 +138,25 @@
 		// Config reads a record of Operators. It returns ErrOtherRecord for one that holds
 		// something else.
 		Config func(r Record) (*setup.Config, error)
+		// Rollout reads a record of Operators that orders a roll-out. It returns ErrOtherRecord
+		// for one that holds something else.
+		Rollout func(r Record) (Rollout, error)
+		// RolloutStatus returns the record that tells the operators how a roll-out stands.
+		RolloutStatus func(r Rollout, v shift.Verdict) (key string, value []byte, err error)
 		// Endpoint reads a record of Endpoints.
 		Endpoint func(r Record, now time.Time) (setup.Endpoint, error)
 	}
 )
 
 const (
-	// Operators and Endpoints are written by the platform's operators and endpoints, Daemons,
-	// Duties and Usage by the daemons.
+	// Operators and Endpoints are written by the platform's operators and endpoints, the others
+	// by the daemons; the operators read Status.
 	Operators Stream = "Operators"
 	Endpoints Stream = "Endpoints"
 	Daemons   Stream = "Daemons"
 	Duties    Stream = "Duties"
 	Usage     Stream = "Usage"
+	Status    Stream = "Status"
 
 	// AnyOffset appends without a condition.
 	AnyOffset int64 = -1
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -50,6 +50,7 @@
 		stale     bool
 		cached    map[cacheKey]cacheEntry
 		cacheTime time.Duration
+		rollouts  map[string]*rollout
 		// misdirected holds endpoints whose address answered for another endpoint.
 		misdirected map[string]int64
 	}
@@ -62,6 +63,7 @@
 		loads       map[uint32]load
 		used        map[string]int64
 		work        map[string]int64
+		outcomes    map[string]outcomes
 		// followUntil is when the daemon no longer follows this one.
 		followUntil time.Time
 	}
@@ -114,7 +116,7 @@
 		own:   map[string]choice.Load{}, peers: map[string]peerLoads{},
 		pastUsed: map[string]int64{}, work: map[string]float64{}, pastWork: map[string]float64{},
 		cached: map[cacheKey]cacheEntry{}, cacheTime: s.Bounds.CacheReuse,
-		misdirected: map[string]int64{},
+		misdirected: map[string]int64{}, rollouts: map[string]*rollout{},
 	}
 }
 
@@ -228,7 +230,7 @@
 }
 
 // gone takes in the end of an endpoint that the own hub has found.
-func (t *tables) gone(record Record, now time.Time) []roster.Change {
+func (t *tables) gone(record Record) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return t.update(roster.End{Offset: record.Offset, ID: record.Key})
@@ -306,7 +308,7 @@
 		}
 		standing := t.health.Standing(e.ID)
 		c := choice.Candidate{
-			ID: e.ID, DataCentre: e.DataCentre, Slots: e.Slots, Memory: memory,
+			ID: e.ID, Version: e.Version, DataCentre: e.DataCentre, Slots: e.Slots, Memory: memory,
 			Load: t.load(e.ID, now), Cached: t.cachedTokens(e.ID, call.Parts, now),
 			Local: e.DataCentre == t.centre, Penalty: float64(standing.Penalty.Milliseconds()),
 		}
@@ -352,7 +354,8 @@
 	defer t.mutex.Unlock()
 	t.refresh(now)
 	request := choiceRequest(t.config, service, call)
-	picked, ok := choice.Pick(request, t.candidates(service, call, tried, now), random)
+	candidates := t.byVersion(service, t.candidates(service, call, tried, now), random())
+	picked, ok := choice.Pick(request, candidates, random)
 	if !ok {
 		return setup.Endpoint{}, picked, nil, false
 	}
@@ -425,6 +428,7 @@
 func (t *tables) judge(endpoint setup.Endpoint, kind health.OutcomeKind, predicted, actual time.Duration, now time.Time) []health.Command {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.count(endpoint, kind)
 	var commands []health.Command
 	t.health, commands = t.health.Update(health.Outcome{
 		Time: now, Instance: endpoint.ID, Route: endpoint.Service, Version: endpoint.Version, Kind: kind,
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -177,6 +177,7 @@
 	}
 	config, err := d.codec.Config(r)
 	if errors.Is(err, ErrOtherRecord) {
+		d.takeRollout(r)
 		return
 	}
 	if err != nil {
