--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -76,9 +76,12 @@
 	// State is one daemon's view of all allowances.
 	State struct {
 		startPart float64
-		accounts  map[string]*bucket
-		peers     map[string]*peer
-		used      map[string]float64
+		// blindUntil ends the time in which a daemon that has started again takes others to be
+		// there though it knows of none; zero once it knows of one.
+		blindUntil time.Time
+		accounts   map[string]*bucket
+		peers      map[string]*peer
+		used       map[string]float64
 	}
 
 	bucket struct {
@@ -109,7 +112,11 @@
 	// FullStart and RestartStart are the parts of a burst in a new daemon's buckets. A daemon
 	// that starts again does not know what the account has used in the last seconds.
 	FullStart    = 1.0
-	RestartStart = 0.4
+	RestartStart = 0.02
+	// blindPart of the allowances is what a daemon takes that has started again and knows of no
+	// other one yet, for blindTime at most: all daemons may have been killed at once.
+	blindPart = 0.05
+	blindTime = 2 * time.Second
 )
 
 // New returns a state whose buckets start with the given part of their burst.
@@ -139,6 +146,9 @@
 }
 
 func (s *State) configure(m Configured) {
+	if len(s.accounts) == 0 && s.startPart < FullStart {
+		s.blindUntil = m.Now.Add(blindTime)
+	}
 	s.settle(m.Now)
 	for name, a := range m.Accounts {
 		b, known := s.accounts[name]
@@ -200,15 +210,26 @@
 
 // settle fills the buckets up to a time and takes off what the peers are taken to have used.
 func (s *State) settle(now time.Time) {
+	if !s.blindUntil.IsZero() && now.After(s.blindUntil) {
+		s.fill(s.blindUntil)
+		s.blindUntil = time.Time{}
+	}
+	s.fill(now)
+}
+
+func (s *State) fill(now time.Time) {
 	s.findSilent(now)
 	heard, daemons := s.sharing()
-	part := heard / daemons
+	part, refill := heard/daemons, 1.0
+	if len(s.peers) == 0 && !s.blindUntil.IsZero() {
+		part, refill = blindPart, blindPart
+	}
 	for name, b := range s.accounts {
 		seconds := now.Sub(b.at).Seconds()
 		if seconds <= 0 {
 			continue
 		}
-		b.level += b.account.Rate * seconds
+		b.level += b.account.Rate * refill * seconds
 		for _, p := range s.peers {
 			rate := p.rates[name]
 			if p.silent {
