relay: split the messages and sums from the gossip; cases: one reader of test data

Cause: gossip.go had 550 lines with three subjects, and six tests read their data with the same lines. Measured: tests of decide and relay pass; no behaviour changed.

--- a/decide/admit/admit_test.go
+++ b/decide/admit/admit_test.go
@@ -1,22 +1,17 @@
 package admit
 
 import (
-	"os"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
+	"lentilstage.dev/decide/cases"
 )
 
 // TestRequests guards against requests that wait for an answer they can't get in time, and
 // against refusals while there is room.
 func TestRequests(t *testing.T) {
-	text, err := os.ReadFile("testdata/requests.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
 	// Times are in milliseconds.
-	var cases []struct {
+	type requestCase struct {
 		Name       string `yaml:"Name"`
 		Wait       int    `yaml:"Wait"`
 		Own        int    `yaml:"Own"`
@@ -26,12 +21,9 @@
 		Admitted   bool   `yaml:"Admitted"`
 		RetryAfter int    `yaml:"RetryAfter"`
 	}
-	if err := yaml.UnmarshalWithOptions(text, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
 	now := time.Unix(1000, 0)
 	ms := func(count int) time.Duration { return time.Duration(count) * time.Millisecond }
-	for _, c := range cases {
+	for _, c := range cases.Load[requestCase](t, "testdata/requests.yaml") {
 		v := Decide(Request{Wait: ms(c.Wait), Own: ms(c.Own), Target: ms(c.Target), Left: ms(c.Left), Rank: c.Rank}, now)
 		if v.Admitted != c.Admitted {
 			t.Errorf("%s: admitted is %v", c.Name, v.Admitted)
--- a/decide/choice/choice_test.go
+++ b/decide/choice/choice_test.go
@@ -3,11 +3,10 @@
 import (
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 
-	"github.com/goccy/go-yaml"
+	"lentilstage.dev/decide/cases"
 )
 
 type (
@@ -34,15 +33,7 @@
 // TestPicks guards against requests that queue at a busy endpoint while another one would
 // answer sooner.
 func TestPicks(t *testing.T) {
-	text, err := os.ReadFile("testdata/picks.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var picks []pick
-	if err := yaml.UnmarshalWithOptions(text, &picks, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-	for _, p := range picks {
+	for _, p := range cases.Load[pick](t, "testdata/picks.yaml") {
 		request := Request{Prompt: p.Prompt, Answer: 50, Model: p.Model}
 		picked, ok := Pick(request, p.candidates(), func() float64 { return 0 })
 		if !ok || picked.Candidate.ID != p.Want {
--- a/decide/quota/quota_test.go
+++ b/decide/quota/quota_test.go
@@ -1,14 +1,14 @@
 package quota
 
 import (
-	"os"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"pgregory.net/rapid"
 
 	"lentilstage.dev/domain/setup"
+
+	"lentilstage.dev/decide/cases"
 )
 
 type (
@@ -44,15 +44,7 @@
 // TestSteps guards against accounts that get more than their allowance over all daemons, and
 // against refusals of what is left of it.
 func TestSteps(t *testing.T) {
-	text, err := os.ReadFile("testdata/steps.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var scripts []script
-	if err := yaml.UnmarshalWithOptions(text, &scripts, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-	for _, s := range scripts {
+	for _, s := range cases.Load[script](t, "testdata/steps.yaml") {
 		t.Run(s.Name, func(t *testing.T) { s.run(t) })
 	}
 }
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"lentilstage.dev/domain/setup"
+
+	"lentilstage.dev/decide/cases"
 )
 
 type (
@@ -39,15 +38,7 @@
 // TestSteps guards against endpoints that get requests after they have left, and against the
 // loss of live ones in an outage of the log or by a stale read.
 func TestSteps(t *testing.T) {
-	text, err := os.ReadFile("testdata/steps.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var scripts []script
-	if err := yaml.UnmarshalWithOptions(text, &scripts, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-	for _, s := range scripts {
+	for _, s := range cases.Load[script](t, "testdata/steps.yaml") {
 		t.Run(s.Name, func(t *testing.T) { s.run(t) })
 	}
 }
--- a/decide/scale/scale_test.go
+++ b/decide/scale/scale_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"lentilstage.dev/domain/setup"
+
+	"lentilstage.dev/decide/cases"
 )
 
 type (
@@ -38,15 +37,7 @@
 // TestPlans guards against fleets that break down when a data centre's reclaimable endpoints
 // go, against firm endpoints that are kept without need, and against orders that repeat.
 func TestPlans(t *testing.T) {
-	text, err := os.ReadFile("testdata/plans.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var scripts []script
-	if err := yaml.UnmarshalWithOptions(text, &scripts, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-	for _, s := range scripts {
+	for _, s := range cases.Load[script](t, "testdata/plans.yaml") {
 		t.Run(s.Name, func(t *testing.T) { s.run(t) })
 	}
 }
--- a/decide/shift/shift_test.go
+++ b/decide/shift/shift_test.go
@@ -1,32 +1,24 @@
 package shift
 
 import (
-	"os"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
+	"lentilstage.dev/decide/cases"
 )
 
 // TestRollouts guards against bad versions that stay, and good ones that are not completed in
 // time.
 func TestRollouts(t *testing.T) {
-	text, err := os.ReadFile("testdata/rollouts.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []struct {
+	type rolloutCase struct {
 		Name string  `yaml:"Name"`
 		Good int64   `yaml:"Good"`
 		Bad  int64   `yaml:"Bad"`
 		At   int     `yaml:"At"`
 		Want Verdict `yaml:"Want"`
 	}
-	if err := yaml.UnmarshalWithOptions(text, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
 	start := time.Unix(1000, 0)
-	for _, c := range cases {
+	for _, c := range cases.Load[rolloutCase](t, "testdata/rollouts.yaml") {
 		s := New("v2", start.Add(10*time.Second), start).WithOutcomes(c.Good, c.Bad)
 		if got := s.Verdict(start.Add(time.Duration(c.At) * time.Second)); got != c.Want {
 			t.Errorf("%s: %s, want %s", c.Name, got, c.Want)
--- /dev/null
+++ b/entryd/relay/message.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"lentilstage.dev/decide/choice"
+)
+
+type (
+	// message is a datagram. Numbers stand for names to keep it small.
+	message struct {
+		Daemon      string  `cbor:"1,keyasint"`
+		Incarnation string  `cbor:"2,keyasint"`
+		Control     string  `cbor:"3,keyasint,omitempty"`
+		DataCentre  string  `cbor:"4,keyasint"`
+		Speed       float64 `cbor:"5,keyasint"`
+		Config      int64   `cbor:"6,keyasint,omitempty"`
+		TimeMS      int64   `cbor:"7,keyasint"`
+		// Digest says that the message is a digest; a greeting has nothing else.
+		Digest bool `cbor:"18,keyasint,omitempty"`
+		// Loads and Used are the sender's own in a digest; those of all daemons but the
+		// receiver in totals.
+		Loads map[uint32]load  `cbor:"8,keyasint,omitempty"`
+		Used  map[string]int64 `cbor:"9,keyasint,omitempty"`
+		// Outcomes are those of the services in a roll-out.
+		Outcomes map[string]outcomes `cbor:"21,keyasint,omitempty"`
+		// Recent is the part of Used by processes that have just started, AgeMS the time since the
+		// sender's start.
+		Recent map[string]int64 `cbor:"19,keyasint,omitempty"`
+		AgeMS  int64            `cbor:"20,keyasint"`
+		// Counts are the sender's requests of each account by window.
+		Counts map[int64]map[string]int64 `cbor:"10,keyasint,omitempty"`
+		// Fence is that of the duty if the daemon holds it.
+		Fence int64 `cbor:"11,keyasint,omitempty"`
+		// Follow asks the receiver for totals.
+		Follow bool    `cbor:"12,keyasint,omitempty"`
+		Totals *totals `cbor:"13,keyasint,omitempty"`
+		// Put and Gone are changes of endpoints, for those that follow.
+		Put  []Record `cbor:"14,keyasint,omitempty"`
+		Gone []Record `cbor:"15,keyasint,omitempty"`
+		// Work is the engine time of what the sender has placed, in milliseconds by service.
+		Work map[string]int64 `cbor:"16,keyasint,omitempty"`
+	}
+
+	// outcomes are the answers of the new version in a roll-out that a daemon has got.
+	outcomes struct {
+		Target string `cbor:"1,keyasint"`
+		Good   int64  `cbor:"2,keyasint"`
+		Bad    int64  `cbor:"3,keyasint"`
+	}
+
+	// totals are what a hub tells of all daemons.
+	totals struct {
+		Daemons int `cbor:"1,keyasint"`
+		// OperatorsAgeMS and EndpointsAgeMS are the times since the hub's last read of the
+		// streams' ends.
+		OperatorsAgeMS int64 `cbor:"3,keyasint"`
+		EndpointsAgeMS int64 `cbor:"4,keyasint"`
+		// EndpointsNext is the offset after the last record that the hub has read, Roster the
+		// hash of the endpoints by then.
+		EndpointsNext int64  `cbor:"5,keyasint"`
+		Roster        uint64 `cbor:"6,keyasint"`
+	}
+
+	// load is an endpoint's load by one or more daemons.
+	load struct {
+		_        struct{} `cbor:",toarray"`
+		Requests int
+		Reading  int
+		Memory   int
+	}
+)
+
+// loadOf returns a load as the choice needs it.
+func (l load) loadOf() choice.Load {
+	return choice.Load{Requests: l.Requests, Reading: float64(l.Reading), Memory: float64(l.Memory)}
+}
+
+func amounts(used map[string]int64) map[string]float64 {
+	amounts := make(map[string]float64, len(used))
+	for account, amount := range used {
+		amounts[account] = float64(amount)
+	}
+	return amounts
+}
+
+// shortID stands for an endpoint or a daemon in messages. Two with the same one would share
+// their loads, which is harmless.
+func shortID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
--- /dev/null
+++ b/entryd/relay/sums.go
@@ -0,0 +1,217 @@
+package relay
+
+import (
+	"maps"
+	"time"
+
+	"lentilstage.dev/decide/quota"
+	"lentilstage.dev/decide/usage"
+)
+
+// digest returns what this daemon tells of itself.
+func (t *tables) digest() message {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	m := message{Loads: map[uint32]load{}, Used: map[string]int64{}, Counts: map[int64]map[string]int64{}}
+	for id, own := range t.own {
+		m.Loads[shortID(id)] = load{Requests: own.Requests, Reading: int(own.Reading), Memory: int(own.Memory)}
+	}
+	for account, used := range t.quota.Used() {
+		m.Used[account] = int64(used)
+	}
+	m.Work = map[string]int64{}
+	for service, work := range t.work {
+		m.Work[service] = int64(work)
+	}
+	m.Outcomes = map[string]outcomes{}
+	for service, r := range t.rollouts {
+		m.Outcomes[service] = outcomes{Target: r.order.Target, Good: r.good, Bad: r.bad}
+	}
+	newest := int64(0)
+	own := t.usage.Own()
+	for window := range own {
+		newest = max(newest, window)
+	}
+	for window, counts := range own {
+		if window > newest-usedWindows {
+			m.Counts[window] = counts
+		}
+	}
+	return m
+}
+
+// heard takes in a daemon's digest.
+func (t *tables) heard(m message, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	p, known := t.peers[m.Daemon]
+	if known && p.incarnation != m.Incarnation {
+		t.keepUsed(p)
+	}
+	if m.Follow {
+		p.followUntil = now.Add(followLasts)
+	}
+	recent := map[string]float64{}
+	if p.young = m.AgeMS < youngAge.Milliseconds(); p.young {
+		recent = amounts(m.Used)
+	}
+	p.heardAt, p.incarnation, p.loads, p.used, p.work, p.outcomes = now, m.Incarnation, m.Loads, m.Used, m.Work, m.Outcomes
+	t.peers[m.Daemon] = p
+	counts := make(map[int64]usage.Counts, len(m.Counts))
+	for window, c := range m.Counts {
+		counts[window] = c
+	}
+	t.usage.Heard(m.Daemon, m.Incarnation, counts)
+	if !t.followsHub {
+		t.quota.Update(quota.Heard{
+			Daemon: m.Daemon, Incarnation: m.Incarnation, Used: amounts(m.Used), Recent: recent, Daemons: 1, Now: now,
+		})
+	}
+}
+
+// keepUsed adds what an ended process had used and placed to the sums, which must not fall.
+func (t *tables) keepUsed(p peerLoads) {
+	for service, work := range p.work {
+		t.pastWork[service] += float64(work)
+	}
+	for account, used := range p.used {
+		t.pastUsed[account] += used
+	}
+}
+
+// heardTotals takes in what the own hub tells of all other daemons.
+func (t *tables) heardTotals(m message, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.followsHub || t.hub != m.Daemon {
+		t.followsHub, t.hub = true, m.Daemon
+		t.quota.Update(quota.Reset{Now: now})
+	}
+	t.hubLoads = peerLoads{heardAt: now, loads: m.Loads, outcomes: m.Outcomes}
+	t.quota.Update(quota.Heard{
+		Daemon: hubName, Incarnation: m.Daemon + m.Incarnation, Used: amounts(m.Used), Recent: amounts(m.Recent),
+		Daemons: max(m.Totals.Daemons-1, 1), Now: now,
+	})
+}
+
+// leaveHub turns to the digests of all daemons, since this daemon is its own hub.
+func (t *tables) leaveHub(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.followsHub {
+		return
+	}
+	t.followsHub, t.hub = false, ""
+	t.hubLoads = peerLoads{}
+	t.quota.Update(quota.Reset{Now: now})
+}
+
+// expect counts a daemon that is known from the log among those that share allowances.
+func (t *tables) expect(daemon string, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.followsHub {
+		t.quota.Update(quota.Listed{Daemon: daemon, Now: now})
+	}
+}
+
+// hubFollowed reports whether another daemon is the own hub.
+func (t *tables) hubFollowed() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.followsHub
+}
+
+// followers returns the daemons that asked for totals lately.
+func (t *tables) followers(now time.Time) map[string]bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	names := map[string]bool{}
+	for name, p := range t.peers {
+		if now.Before(p.followUntil) {
+			names[name] = true
+		}
+	}
+	return names
+}
+
+// forget drops what a daemon that is gone has told, but for its counts.
+func (t *tables) forget(daemon string, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.keepUsed(t.peers[daemon])
+	delete(t.peers, daemon)
+	t.quota.Update(quota.Forgotten{Daemon: daemon, Now: now})
+}
+
+// sums are the loads and uses of all daemons with those of each.
+type sums struct {
+	loads  map[uint32]load
+	used   map[string]int64
+	recent map[string]int64
+	// outcomes are those of all daemons: a daemon that follows counts its own twice, which
+	// stops a bad version no later.
+	outcomes map[string]outcomes
+	peers    map[string]peerLoads
+}
+
+// sums returns the loads and uses of all daemons, this one included, which may be young.
+func (t *tables) sums(now time.Time, young bool) sums {
+	own := t.digest()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	s := sums{
+		loads: own.Loads, used: own.Used, recent: map[string]int64{}, outcomes: own.Outcomes, peers: map[string]peerLoads{},
+	}
+	if young {
+		s.recent = maps.Clone(own.Used)
+	}
+	for account, used := range t.pastUsed {
+		s.used[account] += used
+	}
+	for name, p := range t.peers {
+		s.peers[name] = p
+		for service, o := range p.outcomes {
+			sum := s.outcomes[service]
+			if sum.Target == "" || sum.Target == o.Target {
+				s.outcomes[service] = outcomes{Target: o.Target, Good: sum.Good + o.Good, Bad: sum.Bad + o.Bad}
+			}
+		}
+		for account, used := range p.used {
+			s.used[account] += used
+			if p.young {
+				s.recent[account] += used
+			}
+		}
+		if now.Sub(p.heardAt) > loadsLast {
+			continue
+		}
+		for id, l := range p.loads {
+			sum := s.loads[id]
+			s.loads[id] = load{Requests: sum.Requests + l.Requests, Reading: sum.Reading + l.Reading, Memory: sum.Memory + l.Memory}
+		}
+	}
+	return s
+}
+
+// without returns the sums without the part of one daemon.
+func (s sums) without(daemon string) message {
+	p := s.peers[daemon]
+	m := message{Loads: maps.Clone(s.loads), Used: maps.Clone(s.used), Recent: maps.Clone(s.recent), Outcomes: s.outcomes}
+	for account, used := range p.used {
+		m.Used[account] -= used
+		if p.young {
+			m.Recent[account] -= used
+		}
+	}
+	for id, l := range p.loads {
+		sum := m.Loads[id]
+		rest := load{Requests: sum.Requests - l.Requests, Reading: sum.Reading - l.Reading, Memory: sum.Memory - l.Memory}
+		if rest.Requests <= 0 {
+			delete(m.Loads, id)
+			continue
+		}
+		m.Loads[id] = rest
+	}
+	return m
+}
