roster: an end that is read while the log counts as away is not forgotten

Also, two seconds were waited for registrations that had not lapsed, since the log had answered all others. Change: a missing entry ends at the time at which records count again; daemons tell the age of their reads, and one that had lost the log alone trusts what it reads at once.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -63,9 +63,11 @@
 		Now time.Time
 	}
 
-	// Returned says that the log answers again.
+	// Returned says that the log answers again. Alone says that it has answered other daemons
+	// all the while, so that no registration lapsed for its sake.
 	Returned struct {
-		Now time.Time
+		Now   time.Time
+		Alone bool
 	}
 
 	// Elapsed lets time pass.
@@ -94,8 +96,9 @@
 		endpoint setup.Endpoint
 		offset   int64
 		present  bool
-		// goneAt is when a missing record is taken for the endpoint's end.
-		goneAt time.Time
+		// missing says that the record is gone though the endpoint may live; it is taken as gone
+		// at trustAt.
+		missing bool
 	}
 )
 
@@ -133,7 +136,7 @@
 		if !ok || !e.present || m.Offset < e.offset {
 			return s, nil
 		}
-		e.offset, e.present, e.goneAt = m.Offset, false, time.Time{}
+		e.offset, e.present, e.missing = m.Offset, false, false
 		s.entries[m.ID] = e
 		return s, []Change{{Endpoint: e.endpoint, Reason: Gone}}
 	case Listed:
@@ -143,8 +146,10 @@
 	case Returned:
 		if s.lost {
 			s.lost = false
-			s.trustAt = m.Now.Add(settleTime)
-			s.postpone()
+			s.trustAt = m.Now
+			if !m.Alone {
+				s.trustAt = m.Now.Add(settleTime)
+			}
 		}
 	case Elapsed:
 		return s.elapsed(m.Now)
@@ -176,14 +181,11 @@
 		return s, nil
 	}
 	if s.lost || now.Before(s.trustAt) {
-		if e.goneAt.IsZero() {
-			e.goneAt = s.trustAt
-		}
+		e.missing = true
 		s.entries[id] = e
 		return s, nil
 	}
-	e.present = false
-	e.goneAt = time.Time{}
+	e.present, e.missing = false, false
 	s.entries[id] = e
 	return s, []Change{{Endpoint: e.endpoint, Reason: Gone}}
 }
@@ -205,16 +207,6 @@
 	return s, changes
 }
 
-// postpone moves the end of missing endpoints to the present deadline.
-func (s State) postpone() {
-	for id, e := range s.entries {
-		if !e.goneAt.IsZero() {
-			e.goneAt = s.trustAt
-			s.entries[id] = e
-		}
-	}
-}
-
 func (s State) elapsed(now time.Time) (State, []Change) {
 	if s.lost {
 		return s, nil
@@ -222,8 +214,8 @@
 	var changes []Change
 	deleted := 0
 	for id, e := range s.entries {
-		if e.present && !e.goneAt.IsZero() && !now.Before(e.goneAt) {
-			e.present, e.goneAt = false, time.Time{}
+		if e.present && e.missing && !now.Before(s.trustAt) {
+			e.present, e.missing = false, false
 			s.entries[id] = e
 			changes = append(changes, Change{Endpoint: e.endpoint, Reason: Gone})
 		}
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -30,6 +30,7 @@
 		Born     int64    `yaml:"Born"`
 		Lost     bool     `yaml:"Lost"`
 		Returned bool     `yaml:"Returned"`
+		Alone    bool     `yaml:"Alone"`
 		Elapsed  bool     `yaml:"Elapsed"`
 		Want     []string `yaml:"Want"`
 	}
@@ -79,7 +80,7 @@
 	case s.Lost:
 		return Lost{Now: now}
 	case s.Returned:
-		return Returned{Now: now}
+		return Returned{Now: now, Alone: s.Alone}
 	case s.Elapsed:
 		return Elapsed{Now: now}
 	}
--- a/entryd/relay/feed.go
+++ b/entryd/relay/feed.go
@@ -19,6 +19,10 @@
 	// ownNext and hubNext are the offsets after the endpoints' records that were read.
 	ownNext int64
 	hubNext int64
+	// elsewhereAt is the last read of the endpoints that another daemon has told, and
+	// elsewhereSince the time since which such reads have come without a gap.
+	elsewhereAt    time.Time
+	elsewhereSince time.Time
 	// otherSince is when the endpoints began to differ from the hub's; zero while they don't.
 	otherSince time.Time
 	rosterHash func(time.Time) uint64
@@ -32,6 +36,9 @@
 	operatorsFresh = 1500 * time.Millisecond
 	// endpointsFresh bounds the age of a hub's read of the endpoints.
 	endpointsFresh = 1900 * time.Millisecond
+	// elsewhereGap is the longest time between reads of other daemons for which the log is taken
+	// to have answered them all the while: a hub reads at least every two seconds.
+	elsewhereGap = 2500 * time.Millisecond
 	// repairAfter is how long the endpoints may differ from the hub's before all are fetched;
 	// news are a datagram away.
 	repairAfter = 600 * time.Millisecond
@@ -105,6 +112,33 @@
 	return true
 }
 
+// readElsewhere notes a read of the endpoints that another daemon has told.
+func (f *feed) readElsewhere(at time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !at.After(f.elsewhereAt) {
+		return
+	}
+	if at.Sub(f.elsewhereAt) > elsewhereGap {
+		f.elsewhereSince = at
+	}
+	f.elsewhereAt = at
+}
+
+// upElsewhere reports whether the log has answered other daemons from a time until now.
+func (f *feed) upElsewhere(since, now time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return now.Sub(f.elsewhereAt) < elsewhereGap && !f.elsewhereSince.After(since)
+}
+
+// readAge returns the time since the last own read of the endpoints.
+func (f *feed) readAge(now time.Time) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return now.Sub(f.own[Endpoints])
+}
+
 // noteConfig notes a version of the configuration that a daemon has told of.
 func (d *Daemon) noteConfig(version int64) {
 	for {
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -111,6 +111,7 @@
 		d.duty.heard(m.Fence)
 	}
 	d.noteConfig(m.Config)
+	d.feed.readElsewhere(now.Add(-time.Duration(m.ReadAgeMS) * time.Millisecond))
 	switch {
 	case m.Totals != nil:
 		g.takeTotals(m, now)
@@ -235,7 +236,9 @@
 	m.Daemon, m.Incarnation, m.Control = d.settings.Name, d.incarnation, d.settings.ControlListen
 	m.DataCentre, m.Speed = d.settings.DataCentre, d.settings.Speed
 	m.TimeMS = d.clock.ownTime().UnixMilli()
-	m.AgeMS = d.age(d.clock.now()).Milliseconds()
+	now := d.clock.now()
+	m.AgeMS = d.age(now).Milliseconds()
+	m.ReadAgeMS = d.feed.readAge(now).Milliseconds()
 	m.Fence = d.duty.fence()
 	m.Config = d.tables.version()
 }
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -22,6 +22,8 @@
 		// receiver in totals.
 		Loads map[uint32]load  `cbor:"8,keyasint,omitempty"`
 		Used  map[string]int64 `cbor:"9,keyasint,omitempty"`
+		// ReadAgeMS is the time since the sender's own last read of the endpoints.
+		ReadAgeMS int64 `cbor:"22,keyasint"`
 		// Outcomes are those of the services in a roll-out.
 		Outcomes map[string]outcomes `cbor:"21,keyasint,omitempty"`
 		// Recent is the part of Used by processes that have just started, AgeMS the time since the
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -26,6 +26,8 @@
 		config *setup.Config
 		raw    map[Stream]map[string]Record
 		roster roster.State
+		// lostAt is when the log stopped to answer; zero while it answers.
+		lostAt time.Time
 		// listed says that all endpoints were read, listedAt when they first were.
 		listed   bool
 		listedAt time.Time
@@ -172,14 +174,20 @@
 	return t.update(roster.Listed{End: end, IDs: ids, Now: now})
 }
 
-// storeState says whether the log answers.
-func (t *tables) storeState(up bool, now time.Time) []roster.Change {
+// storeState says whether the log answers. upElsewhere reports whether it has answered other
+// daemons since a time.
+func (t *tables) storeState(up bool, now time.Time, upElsewhere func(since time.Time) bool) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if up {
-		return t.update(roster.Returned{Now: now})
+	if !up {
+		if t.lostAt.IsZero() {
+			t.lostAt = now
+		}
+		return t.update(roster.Lost{Now: now})
 	}
-	return t.update(roster.Lost{Now: now})
+	alone := !t.lostAt.IsZero() && upElsewhere(t.lostAt)
+	t.lostAt = time.Time{}
+	return t.update(roster.Returned{Now: now, Alone: alone})
 }
 
 // elapsed lets time pass.
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -62,11 +62,17 @@
 	f := &follower{
 		daemon: d, stream: Endpoints, wait: endpointWait, pace: endpointPace, take: d.takeEndpoint,
 		listed: func(end int64, keys []string) { d.changed(d.tables.complete(end, keys, d.clock.now())) },
-		state:  func(up bool) { d.changed(d.tables.storeState(up, d.clock.now())) },
+		state:  d.endpointsUp,
 	}
 	return f.run(ctx)
 }
 
+// endpointsUp notes whether the endpoints can be read.
+func (d *Daemon) endpointsUp(up bool) {
+	now := d.clock.now()
+	d.changed(d.tables.storeState(up, now, func(since time.Time) bool { return d.feed.upElsewhere(since, now) }))
+}
+
 func (f *follower) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		started := f.daemon.clock.now()
