--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -101,7 +101,7 @@
 	now := d.clock.now()
 	sender := member{
 		Name: m.Daemon, Address: from, Control: m.Control, DataCentre: m.DataCentre, Speed: m.Speed,
-		Incarnation: m.Incarnation, config: m.Config,
+		Incarnation: m.Incarnation, config: m.Config, holds: m.Fence > 0,
 	}
 	if d.members.heard(sender, now) {
 		d.logger.WithName("gossip").Info("Daemon heard.", "Daemon", m.Daemon, "Address", from, "Incarnation", m.Incarnation)
@@ -156,6 +156,7 @@
 		return
 	}
 	g.sentAt = now
+	d.members.setHolds(d.duty.fence() > 0)
 	hub, own := d.members.follow(now)
 	if own {
 		d.tables.leaveHub(now)
--- a/entryd/relay/members.go
+++ b/entryd/relay/members.go
@@ -44,6 +44,8 @@
 		listedAt  time.Time
 		suspectAt time.Time
 		config    int64
+		// holds says that the daemon holds the duty.
+		holds bool
 	}
 )
 
@@ -79,6 +81,20 @@
 	}
 }
 
+// setHolds notes whether this daemon holds the duty.
+func (m *members) setHolds(holds bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.self.holds = holds
+}
+
+// own returns this daemon's entry.
+func (m *members) own() member {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.self
+}
+
 // heard notes a message of a daemon and returns whether it is a new process.
 func (m *members) heard(from member, now time.Time) bool {
 	m.mutex.Lock()
@@ -162,9 +178,13 @@
 	return now.Sub(k.heardAt) < m.lasts() || k.heardAt.IsZero() && now.Sub(k.listedAt) < suspectFor
 }
 
-// before reports whether a daemon is a hub rather than the other: the faster machine, then
-// by hash.
+// before reports whether a daemon is a hub rather than the other: the holder of the duty,
+// which must stay one to hear the counts of all daemons, then the faster machine, then by
+// hash.
 func before(a, b member) bool {
+	if a.holds != b.holds {
+		return a.holds
+	}
 	return cmp.Or(cmp.Compare(b.Speed, a.Speed), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))) < 0
 }
 
@@ -259,7 +279,7 @@
 }
 
 func (d *Daemon) writeMember(ctx context.Context) error {
-	record := d.members.self
+	record := d.members.own()
 	record.At = d.clock.trueNow()
 	value, err := json.Marshal(record)
 	if err != nil {
--- a/entryd/relay/members_test.go
+++ b/entryd/relay/members_test.go
@@ -82,3 +82,27 @@
 	g.run(9 * time.Second)
 	g.check(t, "after all came back")
 }
+
+// TestHolderStaysHub guards against a holder of the duty that stops, since a machine with a
+// higher rank has come: the duty then has no holder for a lease's time.
+func TestHolderStaysHub(t *testing.T) {
+	g := newGroup(2, 3)
+	holder := g.daemons[0]
+	for _, m := range g.daemons[1:3] {
+		if before(holder.self, m.self) {
+			holder = m
+		}
+	}
+	holder.setHolds(true)
+	g.run(2 * time.Second)
+	g.check(t, "with a holder")
+	if hub := g.daemons[4].hubs(g.now)["centre-0"].Name; hub != holder.self.Name {
+		t.Errorf("%s is the hub, want the holder %s", hub, holder.self.Name)
+	}
+	holder.setHolds(false)
+	g.run(2 * time.Second)
+	g.check(t, "without a holder")
+	if hub := g.daemons[4].hubs(g.now)["centre-0"].Name; hub == holder.self.Name {
+		t.Errorf("%s stays the hub though it holds nothing", hub)
+	}
+}
