--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -103,8 +103,9 @@
 )
 
 const (
-	// Joined, Restarted, Left and Gone are the reasons of changes.
+	// Joined, Restarted, Updated, Left and Gone are the reasons of changes.
 	Joined    Reason = "Joined"
+	Updated   Reason = "Updated"
 	Restarted Reason = "Restarted"
 	Left      Reason = "Left"
 	Gone      Reason = "Gone"
@@ -170,6 +171,8 @@
 		return s, []Change{{Endpoint: m.Endpoint, Reason: Restarted}}
 	case old.endpoint.State != setup.Leaving && m.Endpoint.State == setup.Leaving:
 		return s, []Change{{Endpoint: m.Endpoint, Reason: Left}}
+	case old.endpoint.Place() != m.Endpoint.Place():
+		return s, []Change{{Endpoint: m.Endpoint, Reason: Updated}}
 	}
 	return s, nil
 }
--- a/domain/setup/endpoint.go
+++ b/domain/setup/endpoint.go
@@ -28,6 +28,14 @@
 	}
 )
 
+// Place is what decides which requests an endpoint gets.
+type Place struct {
+	Service, DataCentre, Version string
+	Slots                        int
+	State                        State
+	Reclaimable                  bool
+}
+
 const (
 	// Ready endpoints take requests.
 	Ready State = "Ready"
@@ -39,3 +47,10 @@
 func (e Endpoint) Same(other Endpoint) bool {
 	return e.ID == other.ID && e.Address == other.Address && e.Born == other.Born
 }
+
+// Place returns what decides which requests the endpoint gets.
+func (e Endpoint) Place() Place {
+	return Place{
+		Service: e.Service, DataCentre: e.DataCentre, Version: e.Version, Slots: e.Slots, State: e.State, Reclaimable: e.Reclaimable,
+	}
+}
--- a/entryd/relay/logs.go
+++ b/entryd/relay/logs.go
@@ -108,7 +108,7 @@
 		e := c.Endpoint
 		d.logger.WithName("endpoints").Info("Endpoint changed.", "Reason", c.Reason, "Endpoint", e.ID, "Service", e.Service,
 			"Address", e.Address, "DataCentre", e.DataCentre, "Version", e.Version, "Reclaimable", e.Reclaimable)
-		if c.Reason != roster.Joined {
+		if c.Reason != roster.Joined && c.Reason != roster.Updated {
 			d.pool.forget(e.Address)
 		}
 	}
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -21,7 +21,6 @@
 	// the allowances and usage of accounts. One lock guards them and is never held across I/O.
 	tables struct {
 		mutex  sync.Mutex
-		self   string
 		centre string
 		config *setup.Config
 		raw    map[Stream]map[string]Record
@@ -111,7 +110,7 @@
 		window = time.Minute
 	}
 	return &tables{
-		self: s.Name, centre: s.DataCentre,
+		centre: s.DataCentre,
 		raw:    map[Stream]map[string]Record{Operators: {}, Endpoints: {}},
 		roster: roster.New(), health: health.New(settings), quota: quota.New(start),
 		usage: usage.New(s.Name, incarnation, window),
@@ -153,7 +152,9 @@
 func (t *tables) put(record Record, endpoint setup.Endpoint, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.raw[Endpoints][record.Key] = record
+	if record.Offset > t.roster.Offset(endpoint.ID) {
+		t.raw[Endpoints][record.Key] = record
+	}
 	return t.update(roster.Put{Offset: record.Offset, Endpoint: endpoint, Now: now})
 }
 
--- a/entryd/relay/tables_test.go
+++ b/entryd/relay/tables_test.go
@@ -39,3 +39,33 @@
 		t.Errorf("load %+v after the end", load)
 	}
 }
+
+// TestOldRecordIsNotHandedOn guards against a snapshot with an older record of an endpoint that
+// has since said that it leaves: a daemon that starts from it would send requests there.
+func TestOldRecordIsNotHandedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tables := newTables(Settings{Name: "entry-1"}, "first")
+	put := func(offset int64, state setup.State, text string) {
+		e := setup.Endpoint{ID: "e1", Service: "pool", Address: "127.0.0.1:1", Slots: 4, State: state}
+		tables.put(Record{Key: "e1", Offset: offset, Value: []byte(text)}, e, now)
+	}
+	put(5, setup.Leaving, "leaving")
+	put(4, setup.Ready, "ready")
+	if s := tables.snapshot(); len(s.Endpoints) != 1 || string(s.Endpoints[0].Value) != "leaving" {
+		t.Errorf("snapshot %+v, want the newer record", s.Endpoints)
+	}
+}
+
+// TestChangedSlots guards against an endpoint that is used by what it said before.
+func TestChangedSlots(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tables := newTables(Settings{Name: "entry-1"}, "first")
+	for offset, slots := range []int{4, 8} {
+		e := setup.Endpoint{ID: "e1", Service: "pool", Address: "127.0.0.1:1", Slots: slots, State: setup.Ready}
+		tables.put(Record{Key: "e1", Offset: int64(offset)}, e, now)
+		tables.refresh(now)
+		if known, ok := tables.endpoint("e1"); !ok || known.Slots != slots {
+			t.Errorf("%d slots known, want %d", known.Slots, slots)
+		}
+	}
+}
