quota: a restarted daemon keeps its part of the burst for when it knows the others

Change: 0.4 of the burst, of which a twentieth can be taken before another daemon is known; the assumed part comes back when a daemon is heard.

--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -112,8 +112,8 @@
 	// FullStart and RestartStart are the parts of a burst in a new daemon's buckets. A daemon
 	// that starts again does not know what the account has used in the last seconds.
 	FullStart    = 1.0
-	RestartStart = 0.02
-	// blindPart of the allowances is what a daemon takes that has started again and knows of no
+	RestartStart = 0.4
+	// blindPart of its buckets is what a daemon may take that has started again and knows of no
 	// other one yet, for blindTime at most: all daemons may have been killed at once.
 	blindPart = 0.05
 	blindTime = 2 * time.Second
@@ -138,6 +138,9 @@
 		}
 	case Reset:
 		s.settle(m.Now)
+		for _, p := range s.peers {
+			s.giveBack(p)
+		}
 		clear(s.peers)
 	case Forgotten:
 		s.settle(m.Now)
@@ -175,6 +178,9 @@
 	if !known || p.incarnation != m.Incarnation {
 		// The first digest of a peer tells what it has used so far. Only what is recent and what
 		// comes after it is taken off, since the bucket can't tell when the rest was used.
+		if known {
+			s.giveBack(p)
+		}
 		p = newPeer(m.Incarnation, m.Used, m.Now)
 		p.daemons = float64(max(m.Daemons, 1))
 		s.peers[m.Daemon] = p
@@ -201,6 +207,19 @@
 	clear(p.assumed)
 }
 
+// giveBack returns what a peer was taken to use that was known from the log alone, since what
+// it has used is known now.
+func (s *State) giveBack(p *peer) {
+	if p.incarnation != "" {
+		return
+	}
+	for name, assumed := range p.assumed {
+		if b, ok := s.accounts[name]; ok {
+			b.level += assumed
+		}
+	}
+}
+
 func newPeer(incarnation string, used map[string]float64, heardAt time.Time) *peer {
 	return &peer{
 		incarnation: incarnation, daemons: 1, used: used, heardAt: heardAt,
@@ -221,8 +240,8 @@
 	s.findSilent(now)
 	heard, daemons := s.sharing()
 	part, refill := heard/daemons, 1.0
-	if len(s.peers) == 0 && !s.blindUntil.IsZero() {
-		part, refill = blindPart, blindPart
+	if s.blind() {
+		refill = blindPart
 	}
 	for name, b := range s.accounts {
 		seconds := now.Sub(b.at).Seconds()
@@ -243,6 +262,9 @@
 	}
 }
 
+// blind reports whether this daemon has started again and knows of no other one yet.
+func (s *State) blind() bool { return len(s.peers) == 0 && !s.blindUntil.IsZero() }
+
 // findSilent marks the peers that have fallen silent and takes their even parts off the levels.
 func (s *State) findSilent(now time.Time) {
 	for _, p := range s.peers {
@@ -284,6 +306,9 @@
 	s.settle(now)
 	// A request larger than the burst needs a full bucket and leaves a debt.
 	need := min(cost, b.account.Burst)
+	if s.blind() {
+		need += b.account.Burst * s.startPart * (1 - blindPart)
+	}
 	if b.level < need {
 		wait := time.Duration((need - b.level) / b.account.Rate * float64(time.Second))
 		return Verdict{RetryAt: now.Add(wait), Level: b.level}
--- a/decide/quota/quota_test.go
+++ b/decide/quota/quota_test.go
@@ -27,6 +27,7 @@
 		Return      float64 `yaml:"Return"`
 		Limit       float64 `yaml:"Limit"`
 		Peer        string  `yaml:"Peer"`
+		Listed      string  `yaml:"Listed"`
 		Incarnation string  `yaml:"Incarnation"`
 		Used        float64 `yaml:"Used"`
 		Recent      float64 `yaml:"Recent"`
@@ -58,6 +59,8 @@
 		switch {
 		case step.Peer != "":
 			state.Update(Heard{Daemon: step.Peer, Incarnation: step.Incarnation, Used: map[string]float64{account: step.Used}, Recent: map[string]float64{account: step.Recent}, Now: now})
+		case step.Listed != "":
+			state.Update(Listed{Daemon: step.Listed, Now: now})
 		case step.Limit > 0:
 			state.Update(Configured{Accounts: accounts(step.Limit, step.Limit), Now: now})
 		case step.Return > 0:
