relay: don't read the last event while the stream may change it

Cause: found in reading: the timer that gives up a silent endpoint logged a field that the stream writes at the same time. Change: the line leaves it out; the next line of the send has it. Measured: tests of relay and platform pass.

--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -155,7 +155,8 @@
 // mayRepeat reports whether the request may be sent again although it may have run.
 func (x *exchange) mayRepeat() bool { return x.route.Repeatable() }
 
-// again asks the shared budget whether another attempt may follow.
+// again asks the shared budget whether another attempt may follow. It may be called while the
+// answer is being read, and reads nothing of the request that changes then.
 func (x *exchange) again(result outcome, sends int) bool {
 	d := x.daemon
 	now := d.clock.now()
@@ -165,7 +166,7 @@
 	}, now, d.random())
 	switch c := command.(type) {
 	case retry.Again:
-		x.log("Sending again.", "After", result, "Sends", sends, "LastEvent", x.lastEvent)
+		x.log("Sending again.", "After", result, "Sends", sends)
 		pause(x.request.Context(), c.At.Sub(now))
 		return true
 	case retry.GiveUp:
