lease: pause after a failed call; duty: forget old windows

Cause: found in reading: while the platform refused calls the lease was read five times a second, and the map of reported windows only grew. Change: 0.15 of the lease between tries; windows that can't be due any more are dropped.

--- a/decide/lease/lease.go
+++ b/decide/lease/lease.go
@@ -11,7 +11,7 @@
 //	state := lease.New("entry-1", incarnation, 3*time.Second)
 //	switch action := state.Next(now).(type) {
 //	case lease.Read: ... state = state.WithRead(record, end, now)
-//	case lease.Append: ... state = state.WithAppended(action, end, sentAt, now) or state.WithUnknown()
+//	case lease.Append: ... state = state.WithAppended(action, end, sentAt) or state.WithUnknown(now)
 //	}
 //	fence, ok := state.Holding(now)
 //
@@ -61,6 +61,8 @@
 		// changedAt is when the record was first seen as it is, readAt when it was last read.
 		changedAt time.Time
 		readAt    time.Time
+		// failedAt is when a read or an append last failed.
+		failedAt time.Time
 		// heardAt is when the holder last told that it holds the duty.
 		heardAt time.Time
 		// actUntil ends this daemon's holding; renewAt is when it renews.
@@ -78,6 +80,9 @@
 	renewPart = 0.33
 	// waitPart of the lease is how long a record must be unchanged before a takeover.
 	waitPart = 1.2
+	// retryPart of the lease is the pause after a failed read or append: calls that the platform
+	// refuses are priced too.
+	retryPart = 0.15
 	// readPart of the lease is the pause between reads while the holder isn't heard.
 	readPart = 0.4
 )
@@ -91,7 +96,7 @@
 // Next returns what to do now.
 func (s State) Next(now time.Time) Action {
 	if !s.known {
-		if now.Before(s.readAt.Add(s.part(readPart))) {
+		if now.Before(s.failedAt.Add(s.part(retryPart))) {
 			return nil
 		}
 		return Read{}
@@ -160,8 +165,9 @@
 
 // WithUnknown returns the state after an append that failed, conflicted or was not answered.
 // What is on the log must be read again.
-func (s State) WithUnknown() State {
+func (s State) WithUnknown(now time.Time) State {
 	s.known = false
+	s.failedAt = now
 	return s
 }
 
--- a/decide/lease/lease_test.go
+++ b/decide/lease/lease_test.go
@@ -103,15 +103,15 @@
 		case 0:
 			// The append is carried out and its answer is lost.
 			w.append(a)
-			d.state = d.state.WithUnknown()
+			d.state = d.state.WithUnknown(w.now)
 		case 1:
 			// The append has no answer and is carried out later, if its condition still holds.
 			late := time.Duration(rapid.IntRange(1, 6000).Draw(t, "late")) * time.Millisecond
 			w.delayed = append(w.delayed, delayedAppend{at: w.now.Add(late), action: a})
-			d.state = d.state.WithUnknown()
+			d.state = d.state.WithUnknown(w.now)
 		default:
 			if !w.append(a) {
-				d.state = d.state.WithUnknown()
+				d.state = d.state.WithUnknown(w.now)
 				break
 			}
 			// The answer takes time, in which the lease already runs.
@@ -177,3 +177,16 @@
 	}
 	t.Fatal("a duty whose holder is gone is not taken over in 20 s")
 }
+
+// TestPauseAfterFailure guards against a daemon that calls the platform as fast as it can
+// while the platform refuses its calls.
+func TestPauseAfterFailure(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New("entry-1", "1", length).WithUnknown(now)
+	if action := s.Next(now.Add(100 * time.Millisecond)); action != nil {
+		t.Errorf("%T right after a failure", action)
+	}
+	if _, ok := s.Next(now.Add(500 * time.Millisecond)).(Read); !ok {
+		t.Error("no read half a second after a failure")
+	}
+}
--- a/entryd/relay/duty.go
+++ b/entryd/relay/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -27,7 +28,6 @@
 		finalEnd int64
 		loaded   int64
 		sent     map[int64]bool
-		firstDue int64
 	}
 
 	// finalCounts is the record of the last windows whose counts are final.
@@ -123,7 +123,7 @@
 		record, end, err := u.readLease(ctx)
 		if err != nil {
 			u.log("Lease not read.", "Error", err.Error())
-			next = before.WithUnknown()
+			next = before.WithUnknown(u.daemon.clock.boot())
 			break
 		}
 		next = before.WithRead(record, end, u.daemon.clock.boot())
@@ -136,7 +136,7 @@
 		end, err := u.daemon.store.Append(ctx, Duties, a.At, dutyKey, value)
 		if err != nil {
 			u.log("Lease not written.", "At", a.At, "Fence", a.Record.Fence, "Error", err.Error())
-			next = before.WithUnknown()
+			next = before.WithUnknown(u.daemon.clock.boot())
 			break
 		}
 		next = before.WithAppended(a, end, sentAt)
@@ -181,10 +181,8 @@
 			return
 		}
 		u.loaded = fence
-		if u.firstDue == 0 {
-			u.firstDue = current - 1
-		}
 	}
+	maps.DeleteFunc(u.sent, func(window int64, _ bool) bool { return window <= current-keptFinal })
 	for window := current - keptFinal + 1; window < current; window++ {
 		if u.sent[window] || now.Before(d.tables.windowEnd(window).Add(settleUsage)) {
 			continue
