--- a/decide/retry/retry.go
+++ b/decide/retry/retry.go
@@ -34,6 +34,8 @@
 		// Floor is the number of retries that an account may make in a window however few its
 		// requests are; without it an account with little traffic could never retry.
 		Floor int
+		// Allowance is the number of retries in a window beyond Part and Floor.
+		Allowance int
 		// MaxAttempts counts the first attempt and all that failed after it.
 		MaxAttempts int
 		// FirstDelay doubles with each attempt up to MaxDelay. The delay is drawn from a half
@@ -232,11 +234,15 @@
 
 // has reports whether the account and the daemon may make another retry.
 func (b Budget) has(account string, now time.Time) bool {
-	floor := float64(b.settings.Floor)
 	requests, retries := b.account(account, now).sum(now)
 	totalRequests, totalRetries := b.total.sum(now)
-	return float64(retries+1) <= max(floor, b.settings.Part*float64(requests)) &&
-		float64(totalRetries+1) <= max(floor, b.settings.Part*float64(totalRequests))
+	return retries < b.limit(requests) && totalRetries < b.limit(totalRequests)
+}
+
+// limit returns the number of retries that a number of requests allows.
+func (b Budget) limit(requests int) int {
+	part := max(float64(b.settings.Floor), b.settings.Part*float64(requests))
+	return int(part) + b.settings.Allowance
 }
 
 func (b Budget) spend(account string, now time.Time) {
--- a/entryd/relay/budget.go
+++ b/entryd/relay/budget.go
@@ -35,9 +35,9 @@
 
 func (b *budget) settings() retry.Settings {
 	return retry.Settings{
-		Part:   b.bounds.RetryRatio * budgetPart,
-		Window: b.bounds.RetryWindow,
-		Floor:  int(float64(b.bounds.RetryAllowance) * budgetPart / float64(max(b.daemons, 1))),
+		Part:      b.bounds.RetryRatio * budgetPart,
+		Window:    b.bounds.RetryWindow,
+		Allowance: int(float64(b.bounds.RetryAllowance) * budgetPart / float64(max(b.daemons, 1))),
 
 		MaxAttempts: maxAttempts, FirstDelay: retryDelay, MaxDelay: maxRetryDelay,
 	}
