decide: read all YAML cases by one function

Cause: decide/cases was added beside decide/limit's own generic reader, and five tests still read their data with the same seven lines. Change: all of them call cases.Load; readCases is gone. Assertions and data are unchanged.

--- a/decide/fleet/fleet_test.go
+++ b/decide/fleet/fleet_test.go
@@ -6,17 +6,17 @@
 	"fmt"
 	"maps"
 	"math"
-	"os"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"pgregory.net/rapid"
 
 	"lentilstage.dev/domain/table"
 	"lentilstage.dev/wire/wire"
+
+	"lentilstage.dev/decide/cases"
 )
 
 type planCase struct {
@@ -62,15 +62,7 @@
 
 // TestPlanCases guards the rules of the plan, a case each, against being lost in a change.
 func TestPlanCases(t *testing.T) {
-	data, err := os.ReadFile("testdata/plan.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []planCase
-	if err := yaml.UnmarshalWithOptions(data, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range cases {
+	for _, c := range cases.Load[planCase](t, "testdata/plan.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			view := View{
 				Time: begin, Owner: "us", Daemons: []string{"e1", "e2"}, Prices: offersOf(c.Prices), Settings: DefaultSettings(time.Minute),
--- a/decide/hold/migrate_test.go
+++ b/decide/hold/migrate_test.go
@@ -1,21 +1,16 @@
 package hold
 
 import (
-	"os"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
+	"lentilstage.dev/decide/cases"
 )
 
 // TestMigrate guards against a stream that stays at an endpoint until it is cut, and
 // against a recomputation where the notice leaves time for an export.
 func TestMigrate(t *testing.T) {
-	text, err := os.ReadFile("testdata/migrate.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []struct {
+	type migrateCase struct {
 		Name        string    `yaml:"Name"`
 		LeftMs      int       `yaml:"LeftMs"`
 		Remaining   int       `yaml:"Remaining"`
@@ -24,11 +19,8 @@
 		WithoutTime bool      `yaml:"WithoutTime"`
 		Want        Migration `yaml:"Want"`
 	}
-	if err := yaml.UnmarshalWithOptions(text, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
 	now := time.Unix(1000, 0)
-	for _, c := range cases {
+	for _, c := range cases.Load[migrateCase](t, "testdata/migrate.yaml") {
 		d := Departure{
 			Now: now, Deadline: now.Add(time.Duration(c.LeftMs) * time.Millisecond), Remaining: c.Remaining,
 			TokenPeriod: time.Duration(c.TokenMs) * time.Millisecond, Context: c.Context,
--- a/decide/limit/limit_test.go
+++ b/decide/limit/limit_test.go
@@ -4,17 +4,16 @@
 	"flag"
 	"fmt"
 	"math"
-	"os"
-	"slices"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"pgregory.net/rapid"
 
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/domain/table"
 	"lentilstage.dev/wire/wire"
+
+	"lentilstage.dev/decide/cases"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -28,7 +27,7 @@
 
 // TestGrantCases guards the division of capacity over accounts by examples.
 func TestGrantCases(t *testing.T) {
-	for _, c := range readCases[struct {
+	for _, c := range cases.Load[struct {
 		Name     string               `yaml:"Name"`
 		Capacity float64              `yaml:"Capacity"`
 		Claims   map[string][]float64 `yaml:"Claims"`
@@ -48,7 +47,7 @@
 
 // TestPartsCases guards the division of a limit over daemons by examples.
 func TestPartsCases(t *testing.T) {
-	for _, c := range readCases[struct {
+	for _, c := range cases.Load[struct {
 		Name    string      `yaml:"Name"`
 		Limit   float64     `yaml:"Limit"`
 		Demands [][]float64 `yaml:"Demands"`
@@ -449,16 +448,3 @@
 		aggregate, _ = aggregate.Update(Peers{Time: start, Entries: entries})
 	}
 }
-
-func readCases[T any](t *testing.T, file string) []T {
-	t.Helper()
-	data, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []T
-	if err := yaml.UnmarshalWithOptions(data, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-	return slices.Clip(cases)
-}
--- a/decide/place/place_test.go
+++ b/decide/place/place_test.go
@@ -2,24 +2,19 @@
 
 import (
 	"maps"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"lentilstage.dev/domain/table"
+
+	"lentilstage.dev/decide/cases"
 )
 
 // TestTargets guards against a version that gets traffic before an engine has it, against
 // orders beyond the row's bounds and against repeated orders while one is awaited.
 func TestTargets(t *testing.T) {
-	text, err := os.ReadFile("testdata/targets.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []struct {
+	type targetsCase struct {
 		Name        string              `yaml:"Name"`
 		Share       float64             `yaml:"Share"`
 		MaxReplicas int                 `yaml:"MaxReplicas"`
@@ -27,11 +22,8 @@
 		Engines     map[string][]string `yaml:"Engines"`
 		Want        []string            `yaml:"Want"`
 	}
-	if err := yaml.UnmarshalWithOptions(text, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
 	now := time.Unix(1000, 0)
-	for _, c := range cases {
+	for _, c := range cases.Load[targetsCase](t, "testdata/targets.yaml") {
 		var engines []Engine
 		for _, name := range slices.Sorted(maps.Keys(c.Engines)) {
 			e := Engine{Instance: name, DataCentre: name[:1], Versions: c.Engines[name]}
--- a/decide/retry/retry_test.go
+++ b/decide/retry/retry_test.go
@@ -3,12 +3,12 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
 	"pgregory.net/rapid"
+
+	"lentilstage.dev/decide/cases"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -22,11 +22,7 @@
 
 // TestEndedCases guards each rule for the end of an attempt by an example.
 func TestEndedCases(t *testing.T) {
-	data, err := os.ReadFile("testdata/ended.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []struct {
+	type endedCase struct {
 		Name          string `yaml:"Name"`
 		Requests      int    `yaml:"Requests"`
 		Retries       int    `yaml:"Retries"`
@@ -41,10 +37,7 @@
 		Want          string `yaml:"Want"`
 		NotRun        bool   `yaml:"NotRun"`
 	}
-	if err := yaml.UnmarshalWithOptions(data, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range cases {
+	for _, c := range cases.Load[endedCase](t, "testdata/ended.yaml") {
 		budget := New(DefaultSettings())
 		for account, requests := range map[string]int{"a": c.Requests, "b": c.OtherRequests} {
 			for range requests {
--- a/decide/route/route_test.go
+++ b/decide/route/route_test.go
@@ -6,7 +6,6 @@
 	"maps"
 	"math"
 	"math/rand/v2"
-	"os"
 	"runtime"
 	"slices"
 	"testing"
@@ -17,6 +16,8 @@
 
 	"lentilstage.dev/domain/table"
 	"lentilstage.dev/wire/wire"
+
+	"lentilstage.dev/decide/cases"
 )
 
 type (
@@ -62,15 +63,7 @@
 
 // TestChooseCases guards the rules of the choice, a case each, against being lost in a change.
 func TestChooseCases(t *testing.T) {
-	data, err := os.ReadFile("testdata/choose.yaml")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []chooseCase
-	if err := yaml.UnmarshalWithOptions(data, &cases, yaml.Strict()); err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range cases {
+	for _, c := range cases.Load[chooseCase](t, "testdata/choose.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			request := Request{
 				ID: c.Request, Route: "r", PromptTokens: c.Prompt, Tried: c.Tried, Suspect: c.Suspect,
