decide: one search harness; fixed seeds for the searches of quota and lease

Cause: recorder, configure, setting, summary and pick stood twice in the tests of claim and hold, a third recorder in config, and the same TestMain in eight packages. Change: decide/search holds them; quota and lease use its Main. Properties, weakened rules, counts of schedules and assertions are unchanged.

--- a/decide/claim/search_test.go
+++ b/decide/claim/search_test.go
@@ -1,16 +1,12 @@
 package claim
 
 import (
-	"flag"
-	"fmt"
-	"os"
-	"runtime"
-	"slices"
-	"strconv"
 	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"lentilstage.dev/decide/search"
 )
 
 const (
@@ -23,9 +19,9 @@
 // against a call that runs twice, a "not run" that is not true, and a replay that differs.
 // CLAIM_SEED and CLAIM_SCHEDULES set the seed and the number of schedules of a long search.
 func TestSearchClaims(t *testing.T) {
-	seed, checks := setting("CLAIM_SEED", ciSeed), setting("CLAIM_SCHEDULES", ciChecks)
+	seed, checks := search.Setting("CLAIM_SEED", ciSeed), search.Setting("CLAIM_SCHEDULES", ciChecks)
 	counts, events := map[string]int{}, 0
-	configure(t, seed, checks, "30s")
+	search.Configure(t, seed, checks, "30s")
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rt, noWeakness)
 		for range maxSteps {
@@ -36,7 +32,7 @@
 			counts[name] += n
 		}
 	})
-	t.Logf("seed %d, %d schedules, %d events: %s", seed, checks, events, summary(counts))
+	t.Logf("seed %d, %d schedules, %d events: %s", seed, checks, events, search.Summary(counts))
 	for _, name := range []string{
 		"executed", "replayed", "not run", "unknown", "reused", "joined", "asked", "kill", "fenced", "result read",
 	} {
@@ -51,81 +47,19 @@
 func TestSearchFindsWeakenedRules(t *testing.T) {
 	for _, weak := range weaknesses {
 		t.Run(strings.ReplaceAll(string(weak), " ", "-"), func(t *testing.T) {
-			configure(t, ciSeed, 4000, "0s")
+			search.Configure(t, ciSeed, 4000, "0s")
 			runs := 0
-			probe := &recorder{TB: t}
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				rapid.Check(probe, func(rt *rapid.T) {
-					runs++
-					w := newWorld(rt, weak)
-					for range maxSteps {
-						w.step()
-					}
-				})
-			}()
-			<-done
-			if !probe.failed {
+			failure, found := search.Falsify(t, func(rt *rapid.T) {
+				runs++
+				w := newWorld(rt, weak)
+				for range maxSteps {
+					w.step()
+				}
+			})
+			if !found {
 				t.Fatalf("no schedule of %d fails when the daemon %s", runs, weak)
 			}
-			t.Logf("fails: %s", probe.last)
+			t.Logf("fails: %s", failure.Last)
 		})
 	}
 }
-
-// recorder takes the place of a test, so that an expected failure does not fail it.
-type recorder struct {
-	rapid.TB
-	failed bool
-	last   string
-}
-
-func (r *recorder) Helper()             {}
-func (r *recorder) Logf(string, ...any) {}
-func (r *recorder) Log(...any)          {}
-func (r *recorder) Errorf(format string, arguments ...any) {
-	r.failed = true
-	r.last, _, _ = strings.Cut(fmt.Sprintf(format, arguments...), "\n")
-}
-func (r *recorder) Error(arguments ...any) { r.Errorf("%s", fmt.Sprint(arguments...)) }
-func (r *recorder) Fatalf(format string, arguments ...any) {
-	r.Errorf(format, arguments...)
-	r.FailNow()
-}
-func (r *recorder) Fatal(arguments ...any) { r.Fatalf("%s", fmt.Sprint(arguments...)) }
-func (r *recorder) FailNow() {
-	r.failed = true
-	runtime.Goexit()
-}
-func (r *recorder) Fail()        { r.failed = true }
-func (r *recorder) Failed() bool { return r.failed }
-
-// configure sets rapid's flags, so that CI draws the same schedules each time.
-func configure(t *testing.T, seed, checks int, shrink string) {
-	t.Helper()
-	for name, value := range map[string]string{
-		"rapid.seed": strconv.Itoa(seed), "rapid.checks": strconv.Itoa(checks),
-		"rapid.nofailfile": "true", "rapid.shrinktime": shrink,
-	} {
-		if err := flag.Set(name, value); err != nil {
-			t.Fatal(err)
-		}
-	}
-}
-
-func setting(name string, fallback int) int {
-	if value, err := strconv.Atoi(os.Getenv(name)); err == nil {
-		return value
-	}
-	return fallback
-}
-
-func summary(counts map[string]int) string {
-	parts := make([]string, 0, len(counts))
-	for name, n := range counts {
-		parts = append(parts, fmt.Sprintf("%s %d", name, n))
-	}
-	slices.Sort(parts)
-	return strings.Join(parts, ", ")
-}
--- a/decide/claim/world_test.go
+++ b/decide/claim/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"math/bits"
 	"slices"
 	"time"
 
@@ -12,6 +11,8 @@
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/domain/ident"
 	"lentilstage.dev/wire/wire"
+
+	"lentilstage.dev/decide/search"
 )
 
 const (
@@ -126,20 +127,8 @@
 	return w
 }
 
-var bit = rapid.Bool()
-
-// pick draws a number below n from single bits. IntRange prefers small numbers, so that
-// rare events such as a kill or a pause past the retention came too often.
-func (w *world) pick(n int) int {
-	value, width := 0, bits.Len(uint(n-1))+3
-	for range width {
-		value <<= 1
-		if bit.Draw(w.t, "pick") {
-			value++
-		}
-	}
-	return value * n >> width
-}
+// pick draws a number below n.
+func (w *world) pick(n int) int { return search.Pick(w.t, n) }
 
 func (w *world) chance(percent int) bool { return w.pick(100) < percent }
 
--- a/decide/config/config_test.go
+++ b/decide/config/config_test.go
@@ -2,26 +2,21 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"lentilstage.dev/decide/search"
 )
 
 // searchVariable holds the seed and count of a long search, for instance "7,20000".
 const searchVariable = "LENTILSTAGE_SEARCH"
 
 // TestMain fixes the seed, so that each run of the tests gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	set("rapid.nofailfile", "true")
-	set("rapid.seed", "1")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { search.Main(m, 1) }
 
 func set(name, value string) {
 	if err := flag.Set(name, value); err != nil {
@@ -176,39 +171,8 @@
 	return w
 }
 
-// recorder keeps the failure of a property that must fail.
-type recorder struct {
-	testing.TB
-	failed bool
-	text   strings.Builder
-}
-
-func (r *recorder) Helper()                   {}
-func (r *recorder) Name() string              { return "weakened" }
-func (r *recorder) Failed() bool              { return r.failed }
-func (r *recorder) Fail()                     { r.failed = true }
-func (r *recorder) FailNow()                  { r.failed = true; runtime.Goexit() }
-func (r *recorder) Logf(string, ...any)       {}
-func (r *recorder) Log(...any)                {}
-func (r *recorder) Errorf(f string, a ...any) { r.failed = true; r.note(f, a...) }
-func (r *recorder) Fatalf(f string, a ...any) { r.note(f, a...); r.FailNow() }
-
-func (r *recorder) note(format string, arguments ...any) {
-	for _, line := range strings.Split(fmt.Sprintf(format, arguments...), "\n") {
-		if strings.Contains(line, "failed after") || strings.Contains(line, "was accepted") {
-			r.text.WriteString(line)
-		}
-	}
-}
-
 // failureOf runs a property and returns its failure, or an empty text.
 func failureOf(t *testing.T, property func(*rapid.T)) string {
-	r := &recorder{TB: t}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		rapid.Check(r, property)
-	}()
-	<-done
-	return r.text.String()
+	failure, _ := search.Falsify(t, property)
+	return failure.Text
 }
--- a/decide/crash/crash_test.go
+++ b/decide/crash/crash_test.go
@@ -1,7 +1,6 @@
 package crash
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -12,20 +11,14 @@
 	"pgregory.net/rapid"
 
 	"lentilstage.dev/domain/table"
+
+	"lentilstage.dev/decide/search"
 )
 
 var start = time.Unix(1_700_000_000, 0).UTC()
 
 // TestMain fixes the seed of rapid, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { search.Main(m, 20261204) }
 
 func testRequest(name string) Request {
 	return Request{RequestID: name, Fingerprint: name, Account: "counter", Place: Place{Route: "quote-draft", Step: 1}}
--- a/decide/fleet/fleet_test.go
+++ b/decide/fleet/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"flag"
 	"fmt"
 	"maps"
 	"math"
@@ -17,6 +16,8 @@
 	"lentilstage.dev/wire/wire"
 
 	"lentilstage.dev/decide/cases"
+
+	"lentilstage.dev/decide/search"
 )
 
 type planCase struct {
@@ -40,11 +41,7 @@
 var begin = time.Unix(1_000_000, 0)
 
 // TestMain fixes the seed, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	m.Run()
-}
+func TestMain(m *testing.M) { search.Main(m, 1) }
 
 func kindNamed(name string) Kind {
 	centre, market, _ := strings.Cut(name, " ")
--- a/decide/health/health_test.go
+++ b/decide/health/health_test.go
@@ -1,7 +1,6 @@
 package health
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -11,6 +10,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"lentilstage.dev/decide/search"
 )
 
 // script runs the lines of a test file against an aggregate.
@@ -23,11 +24,7 @@
 }
 
 // TestMain fixes the seed, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	m.Run()
-}
+func TestMain(m *testing.M) { search.Main(m, 1) }
 
 // TestScripts guards the cycle of avoidance, the bound of a third and the attribution to data
 // centres by scripts in testdata.
--- a/decide/hold/world_test.go
+++ b/decide/hold/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -12,6 +11,8 @@
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/domain/ident"
 	"lentilstage.dev/wire/wire"
+
+	"lentilstage.dev/decide/search"
 )
 
 type (
@@ -131,19 +132,8 @@
 	return w
 }
 
-var bit = rapid.Bool()
-
-// pick draws a number below n from single bits, since IntRange prefers small numbers.
-func (w *world) pick(n int) int {
-	value, width := 0, bits.Len(uint(n-1))+3
-	for range width {
-		value <<= 1
-		if bit.Draw(w.t, "pick") {
-			value++
-		}
-	}
-	return value * n >> width
-}
+// pick draws a number below n.
+func (w *world) pick(n int) int { return search.Pick(w.t, n) }
 
 func (w *world) chance(percent int) bool { return w.pick(100) < percent }
 
--- a/decide/lease/lease_test.go
+++ b/decide/lease/lease_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"lentilstage.dev/decide/search"
 )
 
 // world is an oracle: a log with conditional appends, and daemons that act, pause and end at
@@ -41,6 +43,9 @@
 
 const length = 3 * time.Second
 
+// TestMain fixes the seed, so that each run of the tests gives the same verdict.
+func TestMain(m *testing.M) { search.Main(m, 1) }
+
 // TestLeaseSearch guards against two holders that act by turns within a lease, against a
 // fencing number that two daemons send, and against one that falls. Daemons pause at any
 // point between reading and appending, appends are lost or carried out late, and processes
--- a/decide/limit/limit_test.go
+++ b/decide/limit/limit_test.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"testing"
@@ -14,16 +13,14 @@
 	"lentilstage.dev/wire/wire"
 
 	"lentilstage.dev/decide/cases"
+
+	"lentilstage.dev/decide/search"
 )
 
 var start = time.Unix(1_000_000, 0)
 
 // TestMain fixes the seed, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	m.Run()
-}
+func TestMain(m *testing.M) { search.Main(m, 1) }
 
 // TestGrantCases guards the division of capacity over accounts by examples.
 func TestGrantCases(t *testing.T) {
--- a/decide/member/member_test.go
+++ b/decide/member/member_test.go
@@ -3,11 +3,9 @@
 import (
 	"bytes"
 	"encoding/gob"
-	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"reflect"
 	"slices"
 	"testing"
@@ -16,18 +14,12 @@
 	"pgregory.net/rapid"
 
 	"lentilstage.dev/wire/wire"
+
+	"lentilstage.dev/decide/search"
 )
 
 // TestMain fixes the seed, so that each run of the tests gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { search.Main(m, 1) }
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
--- a/decide/moves/moves_test.go
+++ b/decide/moves/moves_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -16,6 +15,8 @@
 
 	"lentilstage.dev/domain/table"
 	"lentilstage.dev/wire/wire"
+
+	"lentilstage.dev/decide/search"
 )
 
 // decisionCase is one entry of testdata/decisions.json. Times are seconds of a move with a deadline
@@ -39,15 +40,7 @@
 var start = time.Unix(1_700_000_000, 0).UTC()
 
 // TestMain fixes the seed of rapid, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { search.Main(m, 20261204) }
 
 func second(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
 
--- a/decide/quota/quota_test.go
+++ b/decide/quota/quota_test.go
@@ -9,6 +9,8 @@
 	"lentilstage.dev/domain/setup"
 
 	"lentilstage.dev/decide/cases"
+
+	"lentilstage.dev/decide/search"
 )
 
 type (
@@ -42,6 +44,9 @@
 	return map[string]setup.Account{account: {Name: account, Rate: rate, Burst: burst, InTokens: true}}
 }
 
+// TestMain fixes the seed, so that each run of the tests gives the same verdict.
+func TestMain(m *testing.M) { search.Main(m, 1) }
+
 // TestSteps guards against accounts that get more than their allowance over all daemons, and
 // against refusals of what is left of it.
 func TestSteps(t *testing.T) {
--- a/decide/retry/retry_test.go
+++ b/decide/retry/retry_test.go
@@ -1,7 +1,6 @@
 package retry
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -9,16 +8,14 @@
 	"pgregory.net/rapid"
 
 	"lentilstage.dev/decide/cases"
+
+	"lentilstage.dev/decide/search"
 )
 
 var start = time.Unix(1_000_000, 0)
 
 // TestMain fixes the seed, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	m.Run()
-}
+func TestMain(m *testing.M) { search.Main(m, 1) }
 
 // TestEndedCases guards each rule for the end of an attempt by an example.
 func TestEndedCases(t *testing.T) {
--- a/decide/route/route_test.go
+++ b/decide/route/route_test.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"math"
@@ -18,6 +17,8 @@
 	"lentilstage.dev/wire/wire"
 
 	"lentilstage.dev/decide/cases"
+
+	"lentilstage.dev/decide/search"
 )
 
 type (
@@ -55,11 +56,7 @@
 )
 
 // TestMain fixes the seed, so that each run gives the same verdict.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	m.Run()
-}
+func TestMain(m *testing.M) { search.Main(m, 1) }
 
 // TestChooseCases guards the rules of the choice, a case each, against being lost in a change.
 func TestChooseCases(t *testing.T) {
