wire, relay: one reader of server-sent events

Cause: relay had written the reader of events again beside wire.EventReader, since it passes the bytes on as they came. Change: EventReader gives an event's bytes (Block), and Next parses them; relay uses it.

--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -1,24 +1,16 @@
 package relay
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
 	"strings"
 	"time"
-)
 
-// eventReader reads a stream of events whole, one at a time.
-type eventReader struct {
-	reader *bufio.Reader
-	event  bytes.Buffer
-}
+	"lentilstage.dev/wire/wire"
+)
 
 const (
-	// streamBuffer holds a few events.
-	streamBuffer = 4096
 	// maxEvent bounds one event.
 	maxEvent = 1 << 20
 	// gapPart of the longest allowed pause is waited for the next event before the stream is
@@ -30,43 +22,15 @@
 // errEventTooLong reports an event beyond maxEvent.
 var errEventTooLong = errors.New("event is too long")
 
-// next returns the next event with its identifier. It returns io.EOF at the end of a whole
-// stream and io.ErrUnexpectedEOF if the stream ends within an event.
-func (e *eventReader) next() (event []byte, id string, err error) {
-	e.event.Reset()
-	for {
-		line, err := e.reader.ReadSlice('\n')
-		e.event.Write(line)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			if e.event.Len() > maxEvent {
-				return nil, "", errEventTooLong
-			}
-			continue
-		}
-		if err != nil {
-			if errors.Is(err, io.EOF) && e.event.Len() > 0 {
-				err = io.ErrUnexpectedEOF
-			}
-			return nil, "", err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return e.event.Bytes(), id, nil
-		}
-		if text, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = strings.TrimSpace(string(text))
-		}
-	}
-}
-
 // stream passes the events of an answer on as they come. The header goes out with the first
 // event, so that an attempt that brings none can be followed by another one.
 func (a *attempt) stream(response *http.Response) (outcome, error) {
 	x := a.x
-	events := &eventReader{reader: bufio.NewReaderSize(response.Body, streamBuffer)}
+	events := wire.NewEventReader(response.Body)
 	flusher := http.NewResponseController(x.writer)
 	first := true
 	for {
-		event, id, err := events.next()
+		event, err := nextEvent(events)
 		if errors.Is(err, io.EOF) {
 			if !x.started {
 				x.startStream(response)
@@ -90,10 +54,10 @@
 		if _, err := x.writer.Write(event); err != nil {
 			return callerGone, err
 		}
-		if id != "" {
+		if id := strings.TrimSpace(wire.BlockID(event)); id != "" {
 			x.lastEvent = id
 		}
-		if events.reader.Buffered() == 0 {
+		if !events.Waiting() {
 			if err := flusher.Flush(); err != nil {
 				return callerGone, err
 			}
@@ -104,6 +68,19 @@
 	}
 }
 
+// nextEvent returns the bytes of the next event. It returns io.EOF at the end of a whole stream
+// and io.ErrUnexpectedEOF if the stream ends within an event.
+func nextEvent(events *wire.EventReader) ([]byte, error) {
+	event, err := events.Block()
+	switch {
+	case errors.Is(err, io.EOF) && len(event) > 0:
+		return nil, io.ErrUnexpectedEOF
+	case err == nil && len(event) > maxEvent:
+		return nil, errEventTooLong
+	}
+	return event, err
+}
+
 // firstEvent notes that the prompt has been read.
 func (a *attempt) firstEvent() {
 	x := a.x
--- a/wire/wire/sse.go
+++ b/wire/wire/sse.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
+	"iter"
 
 	"github.com/rotisserie/eris"
 )
@@ -16,9 +18,10 @@
 		Data  []byte
 	}
 
-	// EventReader reads server-sent events from a stream.
+	// EventReader reads server-sent events from a stream, one at a time.
 	EventReader struct {
 		reader *bufio.Reader
+		block  []byte
 	}
 )
 
@@ -37,53 +40,99 @@
 // io.ErrUnexpectedEOF at the end, ErrEventLine, or the stream's own error.
 func (r *EventReader) Next() (StreamEvent, error) {
 	var event StreamEvent
-	seen := false
 	for {
-		line, err := r.readLine()
-		if err != nil {
-			if seen && err == io.EOF {
-				return StreamEvent{}, io.ErrUnexpectedEOF
-			}
+		block, err := r.Block()
+		seen := event.parse(block)
+		switch {
+		case errors.Is(err, io.EOF) && seen:
+			return StreamEvent{}, io.ErrUnexpectedEOF
+		case err != nil:
 			return StreamEvent{}, err
+		case seen:
+			return event, nil
 		}
-		if len(line) == 0 {
-			if seen {
-				return event, nil
-			}
-			continue
+	}
+}
+
+// Block returns the bytes of the next event as they came, up to and with the empty line that
+// ends it; they are valid until the next call. With an error it returns what came before it:
+// a stream that ends within an event gives io.EOF and a part of the event.
+func (r *EventReader) Block() ([]byte, error) {
+	r.block = r.block[:0]
+	for {
+		start := len(r.block)
+		if err := r.readLine(); err != nil {
+			return r.block, err
+		}
+		if len(bytes.TrimRight(r.block[start:], "\r\n")) == 0 {
+			return r.block, nil
+		}
+	}
+}
+
+// Waiting reports whether more of the stream has come than was returned.
+func (r *EventReader) Waiting() bool { return r.reader.Buffered() > 0 }
+
+// readLine adds the next line to the block. Without its end a line counts as not come, but its
+// bytes are added too.
+func (r *EventReader) readLine() error {
+	start := len(r.block)
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		r.block = append(r.block, part...)
+		if len(r.block)-start > maxEventLine {
+			return ErrEventLine
 		}
-		name, content, _ := bytes.Cut(line, []byte(":"))
-		content = bytes.TrimPrefix(content, []byte(" "))
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
+
+// BlockID returns the identifier of an event's bytes, or an empty string.
+func BlockID(block []byte) string {
+	var id []byte
+	for name, content := range fields(block) {
+		if string(name) == "id" {
+			id = content
+		}
+	}
+	return string(id)
+}
+
+// parse takes in the fields of a block, and reports whether they have data.
+func (e *StreamEvent) parse(block []byte) (seen bool) {
+	for name, content := range fields(block) {
 		switch string(name) {
 		case "id":
-			event.ID = string(content)
+			e.ID = string(content)
 		case "event":
-			event.Event = string(content)
+			e.Event = string(content)
 		case "data":
 			if seen {
-				event.Data = append(event.Data, '\n')
+				e.Data = append(e.Data, '\n')
 			}
-			event.Data = append(event.Data, content...)
+			e.Data = append(e.Data, content...)
 			seen = true
 		}
 	}
+	return seen
 }
 
-func (r *EventReader) readLine() ([]byte, error) {
-	var line []byte
-	for {
-		part, err := r.reader.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > maxEventLine {
-			return nil, ErrEventLine
-		}
-		if err == bufio.ErrBufferFull {
-			continue
-		}
-		if err != nil {
-			return nil, err
+// fields yields the name and content of each line of a block that has come whole.
+func fields(block []byte) iter.Seq2[[]byte, []byte] {
+	return func(yield func(name, content []byte) bool) {
+		for {
+			line, rest, whole := bytes.Cut(block, []byte("\n"))
+			if !whole {
+				return
+			}
+			block = rest
+			name, content, _ := bytes.Cut(bytes.TrimRight(line, "\r"), []byte(":"))
+			if !yield(name, bytes.TrimPrefix(content, []byte(" "))) {
+				return
+			}
 		}
-		return bytes.TrimRight(line, "\r\n"), nil
 	}
 }
 
--- /dev/null
+++ b/wire/wire/sse_test.go
@@ -0,0 +1,48 @@
+package wire
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+)
+
+// TestBlocksAreTheBytesThatCame guards against an event that is passed on with other bytes, and
+// a stream that ends within an event and looks whole.
+func TestBlocksAreTheBytesThatCame(t *testing.T) {
+	const first, second = "versions: 3\r\nid: 1\r\ndata: a\r\n\r\n", ": comment\n\n"
+	long := "id:2\ndata: " + strings.Repeat("x", 10000) + "\n\n"
+	r := NewEventReader(strings.NewReader(first + second + long + "id: 3\ndata: cut"))
+	for i, want := range []string{first, second, long} {
+		block, err := r.Block()
+		if err != nil || string(block) != want {
+			t.Fatalf("block %d: %q, %v", i, block, err)
+		}
+		if id := BlockID(block); id != []string{"1", "", "2"}[i] {
+			t.Errorf("block %d has the identifier %q", i, id)
+		}
+	}
+	if block, err := r.Block(); !errors.Is(err, io.EOF) || string(block) != "id: 3\ndata: cut" {
+		t.Errorf("end within an event: %q, %v", block, err)
+	}
+}
+
+// TestNextAtTheEnd guards against a cut event that is taken for one, or for the stream's end.
+func TestNextAtTheEnd(t *testing.T) {
+	for text, want := range map[string]error{
+		"":                         io.EOF,
+		"data: a\n":                io.ErrUnexpectedEOF,
+		"data: a":                  io.EOF,
+		"id: 1\n":                  io.EOF,
+		"data: a\ndata: b":         io.ErrUnexpectedEOF,
+		strings.Repeat("x", 2<<20): ErrEventLine,
+	} {
+		if _, err := NewEventReader(strings.NewReader(text)).Next(); !errors.Is(err, want) {
+			t.Errorf("%.20q: %v, want %v", text, err, want)
+		}
+	}
+	event, err := NewEventReader(strings.NewReader("id: 1\n\nevent: e\ndata: a\ndata: b\n\n")).Next()
+	if err != nil || event.ID != "1" || event.Event != "e" || string(event.Data) != "a\nb" {
+		t.Errorf("event %+v, %v", event, err)
+	}
+}
