--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -58,10 +58,18 @@
 	busyPart  = 1.6
 )
 
-// hopHeaders concern one connection only.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
+var (
+	// HopHeaders concern one connection only and are never passed on.
+	HopHeaders = []string{
+		"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	}
+
+	// judgements are what the outcomes of sent attempts tell of the endpoint.
+	judgements = map[outcome]health.OutcomeKind{
+		delivered: health.Succeeded, failed: health.Failed, broken: health.Unreachable,
+		stalled: health.TimedOut, late: health.TimedOut,
+	}
+)
 
 // attempt sends the request to the endpoint, after a number of earlier sends, and passes its
 // answer on.
@@ -142,21 +150,11 @@
 			result = ended
 		}
 	}
-	switch result {
-	case delivered, failed, broken, stalled, late, callerGone:
+	if result != notRun {
 		x.mayHaveRun = true
-	default:
 	}
-	switch result {
-	case delivered:
-		x.judge(a.endpoint, health.Succeeded, a.picked, a.sentAt)
-	case failed:
-		x.judge(a.endpoint, health.Failed, a.picked, a.sentAt)
-	case broken:
-		x.judge(a.endpoint, health.Unreachable, a.picked, a.sentAt)
-	case stalled, late:
-		x.judge(a.endpoint, health.TimedOut, a.picked, a.sentAt)
-	default:
+	if kind, tells := judgements[result]; tells {
+		x.judge(a.endpoint, kind, a.picked, a.sentAt)
 	}
 	x.log("Attempt ended.", "Endpoint", a.endpoint.ID, "Outcome", result,
 		"Milliseconds", x.daemon.clock.now().Sub(a.sentAt).Milliseconds())
@@ -173,19 +171,14 @@
 		// An endpoint can't run a request of which it has only a part.
 		return notRun, false, nil
 	}
-	response, err := a.readHead()
+	response, reply, err := a.readHead()
 	if err != nil {
 		return a.fault(err), false, nil
 	}
-	reply := a.x.daemon.codec.ReadReply(response.StatusCode, response.Header)
-	switch {
-	case reply.Misdirected:
+	if reply.Misdirected {
 		a.x.daemon.tables.misdirect(a.endpoint)
-		result = notRun
-	case reply.NotRun:
-		result = notRun
 	}
-	if result == notRun {
+	if reply.NotRun {
 		a.x.log("Not run.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode, "Misdirected", reply.Misdirected)
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBuffered))
 		return notRun, err == nil && a.reusable(response), response.Header
@@ -261,28 +254,28 @@
 
 // readHead reads the head of the answer to this request. Answers to earlier requests, which
 // may come late, are skipped.
-func (a *attempt) readHead() (*http.Response, error) {
+func (a *attempt) readHead() (*http.Response, Reply, error) {
 	for range maxStray {
 		response, err := http.ReadResponse(a.channel.reader, &http.Request{Method: a.x.call.Method})
 		if err != nil {
-			return nil, err
+			return nil, Reply{}, err
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		reply := a.x.daemon.codec.ReadReply(response.StatusCode, response.Header)
 		if reply.CallID == "" || reply.CallID == a.x.call.ID {
-			return response, nil
+			return response, reply, nil
 		}
 		a.x.log("Answer to another request skipped.", "Endpoint", a.endpoint.ID, "Other", reply.CallID)
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-			return nil, errUnsolicited
+			return nil, Reply{}, errUnsolicited
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, err
+			return nil, Reply{}, err
 		}
 	}
-	return nil, errUnsolicited
+	return nil, Reply{}, errUnsolicited
 }
 
 // fault returns what an error on the connection means.
@@ -341,7 +334,7 @@
 // copyHeader copies an endpoint's header but for what concerns its connection.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
-		if !slices.Contains(hopHeaders, name) {
+		if !slices.Contains(HopHeaders, name) {
 			to[name] = values
 		}
 	}
--- a/entryd/relay/duty.go
+++ b/entryd/relay/duty.go
@@ -154,18 +154,25 @@
 
 func (u *duty) readLease(ctx context.Context) (lease.Record, int64, error) {
 	var record lease.Record
-	page, err := u.daemon.store.Newest(ctx, Duties)
+	end, err := u.newest(ctx, Duties, dutyKey, &record)
+	return record, end, err
+}
+
+// newest reads the newest record of a key into a value, which stays as it is without one, and
+// returns the stream's end.
+func (u *duty) newest(ctx context.Context, stream Stream, key string, value any) (int64, error) {
+	page, err := u.daemon.store.Newest(ctx, stream)
 	if err != nil {
-		return record, 0, err
+		return 0, err
 	}
 	for _, r := range page.Records {
-		if r.Key == dutyKey {
-			if err := json.Unmarshal(r.Value, &record); err != nil {
-				return record, 0, err
+		if r.Key == key {
+			if err := json.Unmarshal(r.Value, value); err != nil {
+				return 0, err
 			}
 		}
 	}
-	return record, page.End, nil
+	return page.End, nil
 }
 
 // reportUsage makes the counts of ended windows final on the log and sends them. Whoever
@@ -228,22 +235,12 @@
 func (u *duty) loadFinal(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	page, err := u.daemon.store.Newest(ctx, Usage)
+	var record finalCounts
+	end, err := u.newest(ctx, Usage, usageKey, &record)
 	if err != nil {
 		return err
 	}
-	var record finalCounts
-	for _, r := range page.Records {
-		if r.Key == usageKey {
-			if err := json.Unmarshal(r.Value, &record); err != nil {
-				return err
-			}
-		}
-	}
-	u.final, u.finalEnd = map[int64]usage.Counts{}, page.End
-	for window, counts := range record.Windows {
-		u.final[window] = counts
-	}
+	u.final, u.finalEnd = record.Windows, end
 	return nil
 }
 
--- a/entryd/relay/feed.go
+++ b/entryd/relay/feed.go
@@ -59,11 +59,11 @@
 }
 
 // heard takes in what the hub tells of its reads.
-func (f *feed) heard(t totals, now time.Time) {
+func (f *feed) heard(t totals, endpointsAge time.Duration, now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.hub[Operators] = now.Add(-time.Duration(t.OperatorsAgeMS) * time.Millisecond)
-	f.hub[Endpoints] = now.Add(-time.Duration(t.EndpointsAgeMS) * time.Millisecond)
+	f.hub[Endpoints] = now.Add(-endpointsAge)
 	if t.Roster == f.rosterHash(now) {
 		f.otherSince = time.Time{}
 		f.hubNext = t.EndpointsNext
@@ -77,7 +77,6 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	t.OperatorsAgeMS = now.Sub(f.own[Operators]).Milliseconds()
-	t.EndpointsAgeMS = now.Sub(f.own[Endpoints]).Milliseconds()
 	t.EndpointsNext = f.ownNext
 }
 
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -111,7 +111,7 @@
 		d.duty.heard(m.Fence)
 	}
 	d.noteConfig(m.Config)
-	d.feed.readElsewhere(now.Add(-time.Duration(m.ReadAgeMS) * time.Millisecond))
+	d.feed.readElsewhere(now.Add(-m.readAge()))
 	switch {
 	case m.Totals != nil:
 		g.takeTotals(m, now)
@@ -130,7 +130,7 @@
 		return
 	}
 	d.tables.heardTotals(m, now)
-	d.feed.heard(*m.Totals, now)
+	d.feed.heard(*m.Totals, m.readAge(), now)
 }
 
 // takeNews takes in changes of endpoints.
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"lentilstage.dev/decide/choice"
@@ -54,10 +56,9 @@
 	// totals are what a hub tells of all daemons.
 	totals struct {
 		Daemons int `cbor:"1,keyasint"`
-		// OperatorsAgeMS and EndpointsAgeMS are the times since the hub's last read of the
-		// streams' ends.
+		// OperatorsAgeMS is the time since the hub's last read of the operators' stream; that of
+		// the endpoints is the message's ReadAgeMS.
 		OperatorsAgeMS int64 `cbor:"3,keyasint"`
-		EndpointsAgeMS int64 `cbor:"4,keyasint"`
 		// EndpointsNext is the offset after the last record that the hub has read, Roster the
 		// hash of the endpoints by then.
 		EndpointsNext int64  `cbor:"5,keyasint"`
@@ -89,3 +90,6 @@
 // shortID stands for an endpoint or a daemon in messages. Two with the same one would share
 // their loads, which is harmless.
 func shortID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// readAge returns the time since the sender's own last read of the endpoints.
+func (m message) readAge() time.Duration { return time.Duration(m.ReadAgeMS) * time.Millisecond }
--- a/entryd/relay/seams.go
+++ b/entryd/relay/seams.go
@@ -118,7 +118,7 @@
 		CallID string
 		// NotRun says that the endpoint has not run the request and won't.
 		NotRun bool
-		// Misdirected says that another endpoint has the address.
+		// Misdirected says that another endpoint has the address; NotRun is then set too.
 		Misdirected bool
 		// Signed says that the answer bears an endpoint's signature.
 		Signed bool
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -46,10 +46,11 @@
 		pastWork map[string]float64
 		pastUsed map[string]int64
 		// list and hash are derived from the roster, and out of date while stale is set.
-		list      []setup.Endpoint
-		hash      uint64
-		stale     bool
-		cached    map[cacheKey]cacheEntry
+		list  []setup.Endpoint
+		hash  uint64
+		stale bool
+		// cached is until when an endpoint is taken to keep a prompt part.
+		cached    map[cacheKey]time.Time
 		cacheTime time.Duration
 		rollouts  map[string]*rollout
 		// misdirected holds endpoints whose address answered for another endpoint.
@@ -74,10 +75,6 @@
 		part     string
 	}
 
-	cacheEntry struct {
-		until time.Time
-	}
-
 	// placement is a request's load at an endpoint; its owner ends it.
 	placement struct {
 		endpoint string
@@ -116,7 +113,7 @@
 		usage: usage.New(s.Name, incarnation, window),
 		own:   map[string]choice.Load{}, peers: map[string]peerLoads{},
 		pastUsed: map[string]int64{}, work: map[string]float64{}, pastWork: map[string]float64{},
-		cached: map[cacheKey]cacheEntry{}, cacheTime: s.Bounds.CacheReuse,
+		cached: map[cacheKey]time.Time{}, cacheTime: s.Bounds.CacheReuse,
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{},
 	}
 }
@@ -199,8 +196,8 @@
 	t.refresh(now)
 	t.health, _ = t.health.Update(health.Tick{Time: now})
 	if len(t.cached) > maxCached {
-		for key, entry := range t.cached {
-			if now.After(entry.until) {
+		for key, until := range t.cached {
+			if now.After(until) {
 				delete(t.cached, key)
 			}
 		}
@@ -337,8 +334,8 @@
 func (t *tables) cachedTokens(endpoint string, parts []choice.Part, now time.Time) int {
 	tokens := 0
 	for _, p := range parts {
-		entry, ok := t.cached[cacheKey{endpoint: endpoint, part: p.ID}]
-		if !ok || now.After(entry.until) {
+		until, ok := t.cached[cacheKey{endpoint: endpoint, part: p.ID}]
+		if !ok || now.After(until) {
 			break
 		}
 		tokens += p.Tokens
@@ -378,7 +375,7 @@
 			t.work[service] += workOf(request, picked.Uncached)
 		}
 		for _, part := range call.Parts {
-			t.cached[cacheKey{endpoint: endpoint.ID, part: part.ID}] = cacheEntry{until: now.Add(t.cacheTime)}
+			t.cached[cacheKey{endpoint: endpoint.ID, part: part.ID}] = now.Add(t.cacheTime)
 		}
 	}
 	load := t.own[endpoint.ID]
