relay: sum the loads of all daemons once a request

Cause: a hub looked each endpoint up in the loads of each daemon for every request, 147 x 82 look-ups under the tables' lock; the sum for its followers was a second loop over the same loads. Change: one sum a request, by the function that the totals use; the list of candidates gets its size at once. Placement is the same.

--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -4,8 +4,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"lentilstage.dev/decide/choice"
 )
 
 type (
@@ -74,9 +72,12 @@
 	}
 )
 
-// loadOf returns a load as the choice needs it.
-func (l load) loadOf() choice.Load {
-	return choice.Load{Requests: l.Requests, Reading: float64(l.Reading), Memory: float64(l.Memory)}
+func (l load) plus(o load) load {
+	return load{Requests: l.Requests + o.Requests, Reading: l.Reading + o.Reading, Memory: l.Memory + o.Memory}
+}
+
+func (l load) minus(o load) load {
+	return load{Requests: l.Requests - o.Requests, Reading: l.Reading - o.Reading, Memory: l.Memory - o.Memory}
 }
 
 func amounts(used map[string]int64) map[string]float64 {
--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -183,14 +183,8 @@
 				s.recent[account] += used
 			}
 		}
-		if now.Sub(p.heardAt) > loadsLast {
-			continue
-		}
-		for id, l := range p.loads {
-			sum := s.loads[id]
-			s.loads[id] = load{Requests: sum.Requests + l.Requests, Reading: sum.Reading + l.Reading, Memory: sum.Memory + l.Memory}
-		}
 	}
+	t.addPeers(s.loads, now)
 	return s
 }
 
@@ -205,8 +199,7 @@
 		}
 	}
 	for id, l := range p.loads {
-		sum := m.Loads[id]
-		rest := load{Requests: sum.Requests - l.Requests, Reading: sum.Reading - l.Reading, Memory: sum.Memory - l.Memory}
+		rest := m.Loads[id].minus(l)
 		if rest.Requests <= 0 {
 			delete(m.Loads, id)
 			continue
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -274,26 +274,38 @@
 	return 0
 }
 
-// load returns an endpoint's load by all daemons.
-func (t *tables) load(id string, now time.Time) choice.Load {
-	sum := t.own[id]
-	short := shortID(id)
-	add := func(p peerLoads) {
-		if now.Sub(p.heardAt) > loadsLast {
-			return
-		}
-		l := p.loads[short].loadOf()
-		sum.Requests += l.Requests
-		sum.Reading += l.Reading
-		sum.Memory += l.Memory
-	}
+// heardLoads returns the loads that the other daemons have told lately, by short identifiers.
+func (t *tables) heardLoads(now time.Time) map[uint32]load {
 	if t.followsHub {
-		add(t.hubLoads)
-		return sum
+		if now.Sub(t.hubLoads.heardAt) > loadsLast {
+			return nil
+		}
+		return t.hubLoads.loads
 	}
+	sum := map[uint32]load{}
+	t.addPeers(sum, now)
+	return sum
+}
+
+// addPeers adds the loads that the daemons have told lately to a sum.
+func (t *tables) addPeers(sum map[uint32]load, now time.Time) {
 	for _, p := range t.peers {
-		add(p)
+		if now.Sub(p.heardAt) > loadsLast {
+			continue
+		}
+		for id, l := range p.loads {
+			sum[id] = sum[id].plus(l)
+		}
 	}
+}
+
+// load returns an endpoint's load by this daemon and by the others, as they were heard.
+func (t *tables) load(id string, heard map[uint32]load) choice.Load {
+	sum := t.own[id]
+	others := heard[shortID(id)]
+	sum.Requests += others.Requests
+	sum.Reading += float64(others.Reading)
+	sum.Memory += float64(others.Memory)
 	return sum
 }
 
@@ -304,7 +316,9 @@
 	if s, ok := t.config.Services[service]; ok && s.Engine != nil {
 		memory = s.Engine.Memory
 	}
-	var good, poor []choice.Candidate
+	heard := t.heardLoads(now)
+	var poor []choice.Candidate
+	good := make([]choice.Candidate, 0, len(t.list))
 	for _, e := range t.list {
 		if e.Service != service || e.State != setup.Ready || tried[e.ID] {
 			continue
@@ -315,7 +329,7 @@
 		standing := t.health.Standing(e.ID)
 		c := choice.Candidate{
 			ID: e.ID, Version: e.Version, DataCentre: e.DataCentre, Slots: e.Slots, Memory: memory,
-			Load: t.load(e.ID, now), Cached: t.cachedTokens(e.ID, call.Parts, now),
+			Load: t.load(e.ID, heard), Cached: t.cachedTokens(e.ID, call.Parts, now),
 			Local: e.DataCentre == t.centre, Penalty: float64(standing.Penalty.Milliseconds()),
 		}
 		if standing.Blocked() {
--- a/entryd/relay/tables_test.go
+++ b/entryd/relay/tables_test.go
@@ -25,7 +25,7 @@
 	if !ok {
 		t.Fatal("no endpoint")
 	}
-	if load := tables.load("e1", now); load.Requests != 1 || load.Reading != 4000 {
+	if load := tables.load("e1", tables.heardLoads(now)); load.Requests != 1 || load.Reading != 4000 {
 		t.Errorf("load %+v", load)
 	}
 	tables.heard(message{Daemon: "entry-2", Incarnation: "1", Work: map[string]int64{"pool": 500}, Used: map[string]int64{"a": 7}}, now)
@@ -35,7 +35,7 @@
 		t.Errorf("fleet %v with work of %.3f s, want 0.6 to 0.7", ready, work)
 	}
 	tables.end(placed)
-	if load := tables.load("e1", now); load.Requests != 0 {
+	if load := tables.load("e1", tables.heardLoads(now)); load.Requests != 0 {
 		t.Errorf("load %+v after the end", load)
 	}
 }
