relay: a hub's totals leave the receiver's roll-out answers out

Cause: loads and uses in a hub's totals leave out what the receiver has told, its answers of a roll-out did not, so that a daemon that follows counted them twice. Change: the totals leave them out in the same place. Measured: TestTotalsLeaveTheReceiverOut failed first (3 in place of 1); TestRollout passes.

--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -149,8 +149,6 @@
 	loads  map[uint32]load
 	used   map[string]int64
 	recent map[string]int64
-	// outcomes are those of all daemons: a daemon that follows counts its own twice, which
-	// stops a bad version no later.
 	outcomes map[string]outcomes
 	peers    map[string]peerLoads
 }
@@ -191,13 +189,18 @@
 // without returns the sums without the part of one daemon.
 func (s sums) without(daemon string) message {
 	p := s.peers[daemon]
-	m := message{Loads: maps.Clone(s.loads), Used: maps.Clone(s.used), Recent: maps.Clone(s.recent), Outcomes: s.outcomes}
+	m := message{Loads: maps.Clone(s.loads), Used: maps.Clone(s.used), Recent: maps.Clone(s.recent), Outcomes: maps.Clone(s.outcomes)}
 	for account, used := range p.used {
 		m.Used[account] -= used
 		if p.young {
 			m.Recent[account] -= used
 		}
 	}
+	for service, o := range p.outcomes {
+		if sum := m.Outcomes[service]; sum.Target == o.Target {
+			m.Outcomes[service] = outcomes{Target: o.Target, Good: sum.Good - o.Good, Bad: sum.Bad - o.Bad}
+		}
+	}
 	for id, l := range p.loads {
 		rest := m.Loads[id].minus(l)
 		if rest.Requests <= 0 {
