--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -146,9 +146,9 @@
 
 // sums are the loads and uses of all daemons with those of each.
 type sums struct {
-	loads  map[uint32]load
-	used   map[string]int64
-	recent map[string]int64
+	loads    map[uint32]load
+	used     map[string]int64
+	recent   map[string]int64
 	outcomes map[string]outcomes
 	peers    map[string]peerLoads
 }
