--- a/itest/centre_test.go
+++ b/itest/centre_test.go
@@ -35,7 +35,7 @@
 		})
 	}
 	waitFor(t, 20*time.Second, "all requests to run", func() bool { return running.Load() == requests })
-	c.daemons[0].signal(syscall.SIGKILL)
+	c.daemons[0].Signal(syscall.SIGKILL)
 	for n, engine := range c.engines {
 		if dataCentre(n) == dataCentre(0) {
 			c.markLeavingAndKill(engine, time.Second)
@@ -59,13 +59,13 @@
 	request.onToken = func(count int) {
 		switch count {
 		case 30:
-			c.holderOfOne().signal(syscall.SIGKILL)
+			c.holderOfOne().Signal(syscall.SIGKILL)
 		case 120:
 			if request.reconnects != 0 {
 				t.Errorf("the caller had to reconnect %d times after the holder's death", request.reconnects)
 			}
 			request.addresses = c.addresses()
-			c.daemons[0].signal(syscall.SIGKILL)
+			c.daemons[0].Signal(syscall.SIGKILL)
 		}
 	}
 	if err := request.run(); err != nil {
@@ -97,8 +97,8 @@
 	request.onToken = func(count int) {
 		if count == 30 {
 			engine := c.busyEngine()
-			c.daemons[0].signal(syscall.SIGKILL)
-			engine.signal(syscall.SIGKILL)
+			c.daemons[0].Signal(syscall.SIGKILL)
+			engine.Signal(syscall.SIGKILL)
 		}
 	}
 	if err := request.run(); err != nil {
--- a/itest/config_test.go
+++ b/itest/config_test.go
@@ -244,7 +244,7 @@
 	if err := ask(paused, studioKey, "before"); err != nil {
 		t.Fatal(err)
 	}
-	paused.signal(syscall.SIGSTOP)
+	paused.Signal(syscall.SIGSTOP)
 	began := time.Now()
 	c.publish(edited(c.mustView(c.daemons[0]), removeKeys))
 	if took := time.Since(began); took < 10*time.Second || took > 20*time.Second {
@@ -257,7 +257,7 @@
 	}
 	// The wait lets the kernel queue the connections; the check does not depend on it.
 	<-time.After(100 * time.Millisecond)
-	paused.signal(syscall.SIGCONT)
+	paused.Signal(syscall.SIGCONT)
 	for range requests {
 		if code := codeOf(<-served); code != codes.Unauthorized && code != codes.ConfigUnknown {
 			t.Errorf("a request by the old table ended with code %d", code)
--- a/itest/fault_test.go
+++ b/itest/fault_test.go
@@ -167,5 +167,5 @@
 		ID: engine.name, Role: wire.RoleEngine, DataCentre: dataCentre(0), Address: engine.address(),
 		State: wire.Leaving, LeaveDeadline: deadline, Versions: []string{"catalogue-v1"},
 	})
-	time.AfterFunc(notice, engine.kill)
+	time.AfterFunc(notice, engine.Kill)
 }
--- a/itest/fleet_test.go
+++ b/itest/fleet_test.go
@@ -66,7 +66,7 @@
 			waitFor(t, 20*time.Second, "the reserve after the reclaim", oracle.reserved)
 			waitFor(t, 20*time.Second, "the end of the orphan", func() bool { return !oracle.lists("left") })
 			// The loss of the second daemon moves its slots to the first one.
-			second.kill()
+			second.Kill()
 			if !apart {
 				c.put(wire.Instance{ID: second.name, Role: wire.RoleEntry, DataCentre: dataCentre(1), Address: second.ports[0], PeerAddress: second.ports[1], State: wire.Leaving})
 			}
--- a/itest/move_test.go
+++ b/itest/move_test.go
@@ -184,7 +184,7 @@
 	dead := 0
 	for _, engine := range c.engines {
 		select {
-		case <-engine.exited:
+		case <-engine.Exited():
 			dead++
 		default:
 		}
--- a/itest/order_test.go
+++ b/itest/order_test.go
@@ -91,11 +91,11 @@
 			<-time.After(2 * time.Second)
 			c.fault(c.log, json.RawMessage(`{}`))
 		},
-		"daemon-killed": func(c *cluster) { c.daemons[1].signal(syscall.SIGKILL) },
+		"daemon-killed": func(c *cluster) { c.daemons[1].Signal(syscall.SIGKILL) },
 		"daemon-paused": func(c *cluster) { pauseFor(c.daemons[1], 6*time.Second) },
 		"killed-and-log": func(c *cluster) {
 			c.fault(c.log, json.RawMessage(`{"LoseAnswers": {"Probability": 0.3}, "DelayMilliseconds": 50}`))
-			c.daemons[2].signal(syscall.SIGKILL)
+			c.daemons[2].Signal(syscall.SIGKILL)
 		},
 	}
 	for name, faults := range cases {
@@ -109,9 +109,9 @@
 
 // pauseFor stops a daemon for longer than any deadline of its calls and lets it go on.
 func pauseFor(p *process, pause time.Duration) {
-	p.signal(syscall.SIGSTOP)
+	p.Signal(syscall.SIGSTOP)
 	<-time.After(pause)
-	p.signal(syscall.SIGCONT)
+	p.Signal(syscall.SIGCONT)
 }
 
 func checkOrders(c *cluster, faults orderFaults) {
--- a/itest/process_test.go
+++ b/itest/process_test.go
@@ -1,32 +1,23 @@
 package itest
 
 import (
-	"bytes"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
-	"syscall"
 	"testing"
 	"time"
+
+	"lentilstage.dev/standin/stand"
 )
 
 // process is one program of the system or a stand-in that a test has started.
 type process struct {
-	name    string
-	command *exec.Cmd
+	*stand.Process
+	name string
 	// ports are the addresses that the process bound, in the order of its port file.
 	ports  []string
-	output *lockedBuffer
-	exited chan struct{}
-}
-
-// lockedBuffer keeps a process's output for the report of a failed test.
-type lockedBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
+	output *stand.Output
 }
 
 const (
@@ -53,52 +44,31 @@
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
 	binaries = folder
-	for _, module := range []string{
+	var flags []string
+	if os.Getenv("ITEST_RACE") != "" {
+		flags = append(flags, "-race")
+	}
+	if err := stand.Build(folder, flags,
 		"entryd", "lentilctl", "standin/logd", "standin/listd", "standin/engined", "standin/appd", "standin/cloudd", "standin/faultd",
-	} {
-		arguments := []string{"build", "-o", folder + "/"}
-		if os.Getenv("ITEST_RACE") != "" {
-			arguments = append(arguments, "-race")
-		}
-		build := exec.Command("go", append(arguments, "lentilstage.dev/"+module)...)
-		if output, err := build.CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", module, err, output)
-			return 1
-		}
+	); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
 	}
 	return m.Run()
 }
 
-func (b *lockedBuffer) Write(data []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.Write(data)
-}
-
-func (b *lockedBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.String()
-}
-
 // start runs a program and waits until it has bound its ports. The process is killed
 // at the end of the test.
 func start(t *testing.T, name, program string, arguments ...string) *process {
 	t.Helper()
 	portFile := filepath.Join(t.TempDir(), name+".port")
-	p := &process{name: name, output: &lockedBuffer{}, exited: make(chan struct{})}
-	p.command = exec.Command(filepath.Join(binaries, program), append(arguments, "-port-file", portFile)...)
-	p.command.Stdout = p.output
-	p.command.Stderr = p.output
-	if err := p.command.Start(); err != nil {
-		t.Fatalf("start %s: %v", name, err)
+	p := &process{name: name, output: &stand.Output{}}
+	var err error
+	if p.Process, err = stand.StartProcess(binaries, program, append(arguments, "-port-file", portFile), nil, p.output); err != nil {
+		t.Fatal(err)
 	}
-	go func() {
-		_ = p.command.Wait()
-		close(p.exited)
-	}()
 	t.Cleanup(func() {
-		p.kill()
+		p.Kill()
 		if strings.Contains(p.output.String(), "DATA RACE") {
 			t.Errorf("%s reported a data race", name)
 		}
@@ -117,30 +87,15 @@
 // address returns the first bound address.
 func (p *process) address() string { return p.ports[0] }
 
-// kill ends the process at once.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.exited
-}
-
-// signal sends a signal. SIGSTOP pauses the process and SIGCONT lets it go on.
-func (p *process) signal(signal syscall.Signal) {
-	select {
-	case <-p.exited:
-	default:
-		_ = p.command.Process.Signal(signal)
-	}
-}
-
 // exitCode waits for the process to end and returns its code.
 func (p *process) exitCode(t *testing.T, limit time.Duration) int {
 	t.Helper()
 	select {
-	case <-p.exited:
+	case <-p.Exited():
 	case <-time.After(limit):
 		t.Fatalf("%s did not exit within %s", p.name, limit)
 	}
-	return p.command.ProcessState.ExitCode()
+	return p.ExitCode()
 }
 
 // waitFor waits until the condition holds and fails the test after the limit.
--- a/itest/shutdown_test.go
+++ b/itest/shutdown_test.go
@@ -51,7 +51,7 @@
 		waitFor(t, 15*time.Second, "the replacement to serve", func() bool { return ready(replacement) })
 		began := load.streamed()
 		waitFor(t, 10*time.Second, "streams in progress", func() bool { return load.streamed() >= began+3 })
-		old.signal(syscall.SIGTERM)
+		old.Signal(syscall.SIGTERM)
 		// The balancer keeps sending to the daemon until its check fails.
 		waitFor(t, 10*time.Second, "readiness to fail", func() bool { return !ready(old) })
 		front.set(c.addresses()[n+1:])
@@ -194,7 +194,7 @@
 		t.Fatalf("the request did not have to wait for the cap (error %v)", err)
 	case <-time.After(500 * time.Millisecond):
 	}
-	stopped.signal(syscall.SIGTERM)
+	stopped.Signal(syscall.SIGTERM)
 	if err := <-ended; err != nil && codeOf(err) != codes.Draining {
 		t.Errorf("the request that waited ended with %v", err)
 	}
--- a/itest/stream_test.go
+++ b/itest/stream_test.go
@@ -33,7 +33,7 @@
 	request := newChat(c.addresses(), "spec-match", "long specification", 120)
 	request.onToken = func(count int) {
 		if count == 30 {
-			killed.Do(func() { c.daemons[0].signal(syscall.SIGKILL) })
+			killed.Do(func() { c.daemons[0].Signal(syscall.SIGKILL) })
 		}
 	}
 	if err := request.run(); err != nil {
@@ -52,7 +52,7 @@
 	request := newChat(c.addresses()[:1], "spec-match", "long specification", 150)
 	request.onToken = func(count int) {
 		if count == 20 {
-			c.daemons[0].signal(syscall.SIGTERM)
+			c.daemons[0].Signal(syscall.SIGTERM)
 		}
 	}
 	if err := request.run(); err != nil {
@@ -73,15 +73,15 @@
 	request := newChat(c.addresses()[:1], "quote-draft", "draft a quote", 100)
 	request.onToken = func(count int) {
 		if count == 20 {
-			c.engines[0].signal(syscall.SIGKILL)
+			c.engines[0].Signal(syscall.SIGKILL)
 		}
 		if count == 60 {
-			c.engines[1].signal(syscall.SIGSTOP)
+			c.engines[1].Signal(syscall.SIGSTOP)
 			c.addEngine(2, nil)
 		}
 	}
 	if err := request.run(); err != nil {
 		t.Fatal(err)
 	}
-	c.engines[1].signal(syscall.SIGCONT)
+	c.engines[1].Signal(syscall.SIGCONT)
 }
