relay: keep the wanted version under the feed's lock

Cause: the feed has a lock, and one of its fields was changed by a loop of compare and swap beside it. Change: two methods under the lock. Measured: go test -race ./relay ./adapt passes.

--- a/entryd/relay/feed.go
+++ b/entryd/relay/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"lentilstage.dev/decide/roster"
@@ -27,7 +26,7 @@
 	otherSince time.Time
 	rosterHash func(time.Time) uint64
 	// wanted is the newest version of the configuration that a daemon has told of.
-	wanted atomic.Int64
+	wanted int64
 }
 
 const (
@@ -138,14 +137,18 @@
 	return now.Sub(f.own[Endpoints])
 }
 
-// noteConfig notes a version of the configuration that a daemon has told of.
-func (d *Daemon) noteConfig(version int64) {
-	for {
-		known := d.feed.wanted.Load()
-		if version <= known || d.feed.wanted.CompareAndSwap(known, version) {
-			return
-		}
-	}
+// toldOf notes a version of the configuration that a daemon has told of.
+func (f *feed) toldOf(version int64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.wanted = max(f.wanted, version)
+}
+
+// knowsNewer reports whether a daemon has told of a newer version of the configuration.
+func (f *feed) knowsNewer(version int64) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.wanted > version
 }
 
 // changed logs changes of endpoints and tells them to the daemons that follow.
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -110,7 +110,7 @@
 	if m.Fence > 0 {
 		d.duty.heard(m.Fence)
 	}
-	d.noteConfig(m.Config)
+	d.feed.toldOf(m.Config)
 	d.feed.readElsewhere(now.Add(-m.readAge()))
 	switch {
 	case m.Totals != nil:
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -51,7 +51,7 @@
 		state: func(up bool) { d.storeLost.Store(!up) },
 		wanted: func() bool {
 			config := d.tables.current()
-			return config != nil && d.feed.wanted.Load() > config.Version
+			return config != nil && d.feed.knowsNewer(config.Version)
 		},
 	}
 	return f.run(ctx)
