entry: a stopping daemon ends the orders that it runs for others

A drain waited for the callers' connections only. An order that another daemon had forwarded was not counted, so the daemon exited with the claim won and no end record, and every later attempt was told that the outcome is unknown.

Change: a drain waits for forwarded calls and for claims whose outcome or end record only this daemon can give. While it drains it refuses forwarded calls that it has not begun; the sender runs them itself.

Also: Claims.repeat, which no daemon called, is gone. Its twin callRepeatable is now a repeater over its effects; it derives Sent from whether a connection could be opened, and a call without another endpoint after a sent attempt is no longer said not to have run.

--- a/entryd/entry/calls.go
+++ b/entryd/entry/calls.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/domain/event"
 	"lentilstage.dev/domain/ident"
@@ -24,6 +26,8 @@
 	forwardReserve = 3 * time.Second
 )
 
+var errDraining = eris.New("the daemon is shutting down and has not begun the call")
+
 // newClaims returns the daemon's unrepeatable calls with their seams.
 func (d *Daemon) newClaims() *Claims {
 	return NewClaims(ClaimSettings{
@@ -101,12 +105,24 @@
 	return d.runCall(request)
 }
 
+// forwardedCall runs an unrepeatable call for another daemon. While this daemon drains it
+// takes none but those that it has begun: the sender runs the others itself.
+func (d *Daemon) forwardedCall(request wire.CallRequest) (wire.CallReply, error) {
+	// It counts before the check for draining, so that the shutdown misses none.
+	d.forwarded.Add(1)
+	defer d.forwarded.Add(-1)
+	if d.draining.Load() && !d.claims.Has(request) {
+		return wire.CallReply{}, errDraining
+	}
+	return d.runCall(request), nil
+}
+
 // runCall runs an unrepeatable call at this daemon.
 func (d *Daemon) runCall(request wire.CallRequest) wire.CallReply {
 	if refusal := d.windowRefusal(); refusal != nil {
 		return refusalReply(refusal)
 	}
-	return d.claims.Do(context.Background(), request, false)
+	return d.claims.Do(context.Background(), request)
 }
 
 // windowRefusal returns why keys can't be judged by the log, or nil. A claim must outlive its
--- a/entryd/entry/claims.go
+++ b/entryd/entry/claims.go
@@ -41,14 +41,12 @@
 		Endpoint func(route string) (address, version string, fenced, ok bool)
 		// AskDaemon passes a call to the daemon of an incarnation.
 		AskDaemon func(ctx context.Context, incarnation string, request wire.CallRequest) (wire.CallReply, error)
-		// AllowRetry takes a retry of a repeatable call from the account's budget; nil allows none.
-		AllowRetry func(account string) bool
-		Now        func() time.Time
-		Emit       func(event.Event)
+		Now       func() time.Time
+		Emit      func(event.Event)
 	}
 
-	// Claims runs the calls of plain services: an unrepeatable call at most once over all
-	// daemons, a repeatable one with a few attempts. It is safe for concurrent use.
+	// Claims runs the unrepeatable calls of plain services, each at most once over all daemons.
+	// It is safe for concurrent use.
 	Claims struct {
 		ClaimSettings
 		ClaimSeams
@@ -129,8 +127,6 @@
 	waitLimit = 2 * time.Second
 	// maxAnswer bounds a service's answer in bytes.
 	maxAnswer = 8 << 20
-	// maxAttempts bounds the attempts of a repeatable call.
-	maxAttempts = 3
 )
 
 // errSecondDial keeps the HTTP client from opening a connection of its own.
@@ -182,13 +178,10 @@
 
 // Do runs a call and returns its reply. A reply whose refusal does not set Unknown
 // promises that the call was not and will not be run. The caller's deadline is cut to 30 s.
-func (c *Claims) Do(ctx context.Context, request wire.CallRequest, repeatable bool) wire.CallReply {
+func (c *Claims) Do(ctx context.Context, request wire.CallRequest) wire.CallReply {
 	if limit := c.Now().Add(maxCallDeadline); request.Deadline.IsZero() || request.Deadline.After(limit) {
 		request.Deadline = limit
 	}
-	if repeatable {
-		return c.repeat(ctx, request)
-	}
 	if request.Key == "" {
 		return refusal(codes.KeyMissing, "the call lacks its Idempotency-Key", false)
 	}
@@ -212,6 +205,34 @@
 	}
 }
 
+// Has reports whether a call with the request's key is in progress here.
+func (c *Claims) Has(request wire.CallRequest) bool {
+	s := c.shard(ClaimStream(request.Account, request.Key))
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byKey[claim.Changed{Account: request.Account, Key: request.Key}] != nil
+}
+
+// Unended returns the number of calls whose outcome or end record only this daemon can still
+// give. A daemon that stops before leaves them unknown to all others for good.
+func (c *Claims) Unended() int {
+	count := 0
+	for _, s := range c.allShards() {
+		s.mu.Lock()
+		for _, a := range s.calls {
+			switch a.call.Phase {
+			case claim.Claiming, claim.Choosing, claim.Sending, claim.Answered:
+				count++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return count
+}
+
 // enter joins the call in progress with the request's key or starts one. It returns false
 // if there is no room for another call.
 func (c *Claims) enter(request wire.CallRequest, waiter *claimWaiter) bool {
@@ -713,47 +734,6 @@
 	return claim.ServiceAnswered{Now: c.Now(), Status: resp.StatusCode(), Body: slices.Clone(resp.Body())}
 }
 
-// repeat sends a repeatable call until it is answered, within the attempts and the budget.
-func (c *Claims) repeat(ctx context.Context, request wire.CallRequest) wire.CallReply {
-	opened := false
-	for attempt := range maxAttempts {
-		if attempt > 0 {
-			if c.AllowRetry == nil || !c.AllowRetry(request.Account) {
-				break
-			}
-			c.pause(rand.N(20 * time.Millisecond << attempt))
-		}
-		if ctx.Err() != nil || c.ctx.Err() != nil || !c.Now().Before(request.Deadline) {
-			break
-		}
-		address, _, _, ok := c.Endpoint(request.Route)
-		if !ok {
-			continue
-		}
-		done := make(chan claim.Message, 1)
-		if !c.work(func() { done <- c.send(request, address, -1) }) {
-			break
-		}
-		select {
-		case message := <-done:
-			switch m := message.(type) {
-			case claim.ServiceAnswered:
-				return wire.CallReply{Status: m.Status, Body: m.Body}
-			case claim.AnswerLost:
-				opened = true
-			}
-		case <-ctx.Done():
-			return refusal(codes.OutcomeUnknown, "the caller has left before the outcome was known", true)
-		case <-time.After(request.Deadline.Sub(c.Now())):
-			return refusal(codes.OutcomeUnknown, "the deadline passed after the call was sent", true)
-		}
-	}
-	if opened {
-		return refusal(codes.OutcomeUnknown, "the call was sent and its answer was lost", true)
-	}
-	return refusal(codes.NoEndpoint, "no endpoint of the route could be reached", false)
-}
-
 func refusal(code codes.Code, sentence string, unknown bool) wire.CallReply {
 	return wire.CallReply{Code: int(code), Message: sentence, Unknown: unknown}
 }
--- a/entryd/entry/claims_test.go
+++ b/entryd/entry/claims_test.go
@@ -67,7 +67,7 @@
 				ReadLog: d.log.read, AppendLog: d.log.append, Now: time.Now, Emit: func(event.Event) {},
 				Endpoint: func(string) (string, string, bool, bool) { return address, "v1", true, address != "" },
 				AskDaemon: func(ctx context.Context, incarnation string, request wire.CallRequest) (wire.CallReply, error) {
-					return d.claims[names[incarnation]].Do(ctx, request, false), nil
+					return d.claims[names[incarnation]].Do(ctx, request), nil
 				},
 			}))
 	}
@@ -205,9 +205,9 @@
 				d := newTestDaemons(t, 2, listener.Addr().String())
 				request := order(ident.NewKey(), time.Second)
 				request.Method = method
-				first := d.claims[0].Do(t.Context(), request, false)
-				again := d.claims[0].Do(t.Context(), request, false)
-				other := d.claims[1].Do(t.Context(), request, false)
+				first := d.claims[0].Do(t.Context(), request)
+				again := d.claims[0].Do(t.Context(), request)
+				other := d.claims[1].Do(t.Context(), request)
 				_ = listener.Close()
 				<-served
 				if n := requests.Load(); n != 1 {
@@ -233,7 +233,7 @@
 	request := order(ident.NewKey(), 20*time.Second)
 	replies := make(chan wire.CallReply, 4)
 	for i := range 4 {
-		go func() { replies <- d.claims[i%2].Do(t.Context(), request, false) }()
+		go func() { replies <- d.claims[i%2].Do(t.Context(), request) }()
 	}
 	first := <-replies
 	for range 3 {
@@ -241,11 +241,11 @@
 			t.Errorf("reply is %+v, want the same answer as %+v", reply, first)
 		}
 	}
-	if reply := d.claims[1].Do(t.Context(), request, false); !reply.Replayed || string(reply.Body) != "order 1" {
+	if reply := d.claims[1].Do(t.Context(), request); !reply.Replayed || string(reply.Body) != "order 1" {
 		t.Errorf("reply is %+v, want the stored answer", reply)
 	}
 	request.Body = []byte(`{"Rolls":30}`)
-	if reply := d.claims[1].Do(t.Context(), request, false); reply.Code != int(codes.KeyReused) {
+	if reply := d.claims[1].Do(t.Context(), request); reply.Code != int(codes.KeyReused) {
 		t.Errorf("reply is %+v, want KeyReused", reply)
 	}
 	if n := service.count(request.Key); n != 1 {
@@ -265,7 +265,7 @@
 		for range 8 {
 			group.Go(func() {
 				for range 30 {
-					if reply := d.claims[0].Do(context.Background(), request, false); reply.Code != 0 {
+					if reply := d.claims[0].Do(context.Background(), request); reply.Code != 0 {
 						t.Errorf("reply is %+v, want the answer", reply)
 					}
 				}
@@ -282,7 +282,7 @@
 	d := newTestDaemons(t, 2, closedAddress(t))
 	request := order(ident.NewKey(), 20*time.Second)
 	for _, c := range d.claims {
-		if reply := c.Do(t.Context(), request, false); !claim.SaysNotRun(reply) {
+		if reply := c.Do(t.Context(), request); !claim.SaysNotRun(reply) {
 			t.Errorf("reply is %+v, want not run", reply)
 		}
 	}
@@ -296,12 +296,12 @@
 	d := newTestDaemons(t, 1, address)
 	d.log.setDown(true)
 	request := order(ident.NewKey(), 20*time.Second)
-	reply := d.claims[0].Do(t.Context(), request, false)
+	reply := d.claims[0].Do(t.Context(), request)
 	if !reply.Unknown || !strings.Contains(reply.Message, "sent nothing") || service.count(request.Key) != 0 {
 		t.Fatalf("reply is %+v after %d runs", reply, service.count(request.Key))
 	}
 	d.log.setDown(false)
-	if reply := d.claims[0].Do(t.Context(), request, false); reply.Code != 0 {
+	if reply := d.claims[0].Do(t.Context(), request); reply.Code != 0 {
 		t.Fatalf("reply is %+v, want the answer", reply)
 	}
 }
@@ -321,7 +321,7 @@
 	var group sync.WaitGroup
 	for _, key := range keys {
 		group.Go(func() {
-			if reply := d.claims[0].Do(t.Context(), order(key, 20*time.Second), false); reply.Code != 0 {
+			if reply := d.claims[0].Do(t.Context(), order(key, 20*time.Second)); reply.Code != 0 {
 				t.Errorf("reply is %+v, want the answer", reply)
 			}
 		})
@@ -350,7 +350,7 @@
 		for _, c := range d.claims {
 			group.Go(func() {
 				for range 2 {
-					reply := c.Do(context.Background(), request, false)
+					reply := c.Do(context.Background(), request)
 					mu.Lock()
 					notRun[request.Key] = notRun[request.Key] || claim.SaysNotRun(reply)
 					if reply.Code == 0 {
@@ -372,29 +372,3 @@
 	}
 	t.Logf("%d of 320 calls answered, %d keys run", answers, len(service.calls))
 }
-
-// TestRepeatableCallIsRetried guards against a repeatable call that fails with its first
-// endpoint although the budget allows another attempt.
-func TestRepeatableCallIsRetried(t *testing.T) {
-	checkLeaks(t)
-	_, address := startService(t)
-	closed := closedAddress(t)
-	d := newTestDaemons(t, 1, closed)
-	c, asked := d.claims[0], 0
-	c.Endpoint = func(string) (string, string, bool, bool) {
-		asked++
-		if asked == 1 {
-			return closed, "v1", false, true
-		}
-		return address, "v1", false, true
-	}
-	request := order("", 20*time.Second)
-	if reply := c.Do(t.Context(), request, true); !claim.SaysNotRun(reply) {
-		t.Errorf("reply without budget is %+v, want not run", reply)
-	}
-	asked = 0
-	c.AllowRetry = func(string) bool { return true }
-	if reply := c.Do(t.Context(), request, true); reply.Status != http.StatusCreated {
-		t.Errorf("reply is %+v, want the answer of the second endpoint", reply)
-	}
-}
--- a/entryd/entry/daemon.go
+++ b/entryd/entry/daemon.go
@@ -39,8 +39,10 @@
 		// connections counts the callers' requests that wait or are being answered. A stream
 		// may count twice while it is opened.
 		connections atomic.Int64
-		listener    net.Listener
-		peerSide    net.Listener
+		// forwarded counts the unrepeatable calls that run for other daemons.
+		forwarded atomic.Int64
+		listener  net.Listener
+		peerSide  net.Listener
 	}
 )
 
@@ -205,19 +207,26 @@
 func (d *Daemon) drain() {
 	logger := d.base.Logger.WithName("daemon")
 	d.draining.Store(true)
-	logger.Info("Draining.", "requests", d.requests.count(), "connections", d.connections.Load())
+	logger.Info("Draining.", "requests", d.requests.count(), "connections", d.connections.Load(),
+		"forwarded", d.forwarded.Load(), "calls", d.claims.Unended())
 	deadline := d.base.Now().Add(time.Duration(d.base.Settings.DrainSeconds) * time.Second)
 	d.awaitIdle(deadline)
-	if d.connections.Load() > 0 {
-		logger.Info("Drain deadline passed; handing over.", "connections", d.connections.Load())
+	if !d.idle() {
+		logger.Info("Drain deadline passed; handing over.", "connections", d.connections.Load(),
+			"forwarded", d.forwarded.Load(), "calls", d.claims.Unended())
 		d.requests.handOver()
 		d.awaitIdle(d.base.Now().Add(handOverTime))
 	}
 }
 
-// awaitIdle waits until no caller's connection is being answered, or for the deadline.
+// idle reports whether neither a caller nor another daemon waits for this one.
+func (d *Daemon) idle() bool {
+	return d.connections.Load() == 0 && d.forwarded.Load() == 0 && d.claims.Unended() == 0
+}
+
+// awaitIdle waits until the daemon is idle, or for the deadline.
 func (d *Daemon) awaitIdle(deadline time.Time) {
-	for d.connections.Load() > 0 && d.base.Now().Before(deadline) {
+	for !d.idle() && d.base.Now().Before(deadline) {
 		sleep(context.Background(), drainPause)
 	}
 }
--- a/entryd/entry/plain.go
+++ b/entryd/entry/plain.go
@@ -94,31 +94,67 @@
 // callRepeatable sends a repeatable call, again at another endpoint after a failure as far
 // as the retry budget goes.
 func (d *Daemon) callRepeatable(call wire.CallRequest) wire.CallReply {
-	d.retries.arrived(call.Account)
-	tried := value.NewSet[string]()
+	return repeater{
+		choose: func(tried value.Set[string]) (target, bool) {
+			state := d.control.State()
+			return d.endpoints.choosePlain(state, state.Routes[call.Route], tried)
+		},
+		send: d.sendCall,
+		failed: func(chosen target, err error) {
+			d.base.emit(event.Event{
+				Kind: "CallFailed", Account: call.Account, Route: call.Route,
+				Endpoint: chosen.Instance.ID, Reason: err.Error(),
+			})
+		},
+		arrived: d.retries.arrived,
+		next: func(attempt retry.Attempt, endpoint string) (time.Time, *codes.Refusal) {
+			return d.retries.next(attempt, d.endpoints.isLeaving(endpoint))
+		},
+		now: d.base.Now,
+	}.run(call)
+}
+
+// repeater runs a repeatable call over the effects that it needs.
+type repeater struct {
+	choose  func(tried value.Set[string]) (target, bool)
+	send    func(call wire.CallRequest, chosen target) (wire.CallReply, error)
+	failed  func(chosen target, err error)
+	arrived func(account string)
+	// next returns the time of the attempt after the one that failed at an endpoint, or the
+	// refusal that ends the call.
+	next func(attempt retry.Attempt, endpoint string) (time.Time, *codes.Refusal)
+	now  func() time.Time
+}
+
+// run sends the call until it is answered or given up. The refusal says "not run" only if no
+// attempt has opened a connection.
+func (r repeater) run(call wire.CallRequest) wire.CallReply {
+	r.arrived(call.Account)
+	tried, sent := value.NewSet[string](), false
 	for number := 1; ; number++ {
-		state := d.control.State()
-		chosen, ok := d.endpoints.choosePlain(state, state.Routes[call.Route], tried)
+		chosen, ok := r.choose(tried)
 		if !ok {
-			return refusalReply(codes.Refuse(codes.NoEndpoint, "no endpoint of route %s is ready", call.Route))
+			refusal := codes.Refuse(codes.NoEndpoint, "no endpoint of route %s is ready", call.Route)
+			if sent {
+				refusal = refusal.WithOutcomeUnknown()
+			}
+			return refusalReply(refusal)
 		}
 		tried = tried.With(chosen.Instance.ID)
-		reply, err := d.sendCall(call, chosen)
+		reply, err := r.send(call, chosen)
 		if err == nil {
 			return reply
 		}
-		d.base.emit(event.Event{
-			Kind: "CallFailed", Account: call.Account, Route: call.Route,
-			Endpoint: chosen.Instance.ID, Reason: err.Error(),
-		})
-		at, refusal := d.retries.next(retry.Attempt{
-			Request: call.Path, Account: call.Account, Number: number, Repeatable: true, Sent: true,
+		sent = sent || !client.NotSent(err)
+		r.failed(chosen, err)
+		at, refusal := r.next(retry.Attempt{
+			Request: call.Path, Account: call.Account, Number: number, Repeatable: true, Sent: sent,
 			LatestStart: call.Deadline,
-		}, d.endpoints.isLeaving(chosen.Instance.ID))
+		}, chosen.Instance.ID)
 		if refusal != nil {
 			return refusalReply(refusal)
 		}
-		sleep(context.Background(), at.Sub(d.base.Now()))
+		sleep(context.Background(), at.Sub(r.now()))
 	}
 }
 
--- a/entryd/entry/rpc.go
+++ b/entryd/entry/rpc.go
@@ -136,8 +136,9 @@
 
 // Call runs an unrepeatable call whose shard this daemon follows, or tells what became of one.
 func (p *PeerService) Call(request wire.CallRequest, reply *wire.CallReply) error {
-	*reply = p.daemon.runCall(request)
-	return nil
+	answer, err := p.daemon.forwardedCall(request)
+	*reply = answer
+	return err
 }
 
 // Crash takes a notice of an attributed crash or of a quarantined request.
--- a/itest/shutdown_test.go
+++ b/itest/shutdown_test.go
@@ -169,6 +169,35 @@
 // notTaken reports whether no process listens at the address any more.
 func notTaken(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// TestForwardedOrderOutlivesTheStop guards against a graceful stop that cuts an order which
+// another daemon has forwarded: no caller is connected to the stopping daemon itself, and an
+// order that it has claimed and not ended is never answered.
+func TestForwardedOrderOutlivesTheStop(t *testing.T) {
+	t.Parallel()
+	const orders = 24
+	c := newCluster(t, plan{daemons: 2, apps: 1})
+	c.fault(c.apps[0], json.RawMessage(`{"DelayMilliseconds": 1500}`))
+	results := make(map[string]*orderResult)
+	var callers sync.WaitGroup
+	for range orders {
+		key, result := ident.NewKey(), &orderResult{refusals: make(map[codes.Code]int)}
+		results[key] = result
+		callers.Go(func() { place(c.daemons[0].address(), key, result) })
+	}
+	<-time.After(700 * time.Millisecond)
+	c.daemons[1].Signal(syscall.SIGTERM)
+	if code := c.daemons[1].exitCode(t, 30*time.Second); code != 0 {
+		t.Errorf("the daemon exited with %d", code)
+	}
+	callers.Wait()
+	executions := c.executions()
+	for key, result := range results {
+		if result.answered != 1 || executions[key] != 1 {
+			t.Errorf("order %s ran %d times and was answered %d times: %s", key, executions[key], result.answered, result.lastFault)
+		}
+	}
+}
+
 // TestQueuedRequestOutlivesTheStop guards against a graceful stop that cuts a request which
 // waits for its account's cap while no other caller is connected: it must get its whole
 // answer or a refusal that sends it to another daemon.
--- a/wire/client/plain.go
+++ b/wire/client/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -37,3 +38,10 @@
 		return status, answer, nil
 	}
 }
+
+// NotSent reports whether a call's error says that no connection could be opened, so that no
+// byte of the call has left.
+func NotSent(err error) bool {
+	var failed *net.OpError
+	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &failed) && failed.Op == "dial"
+}
