member: drop the sums that nobody reads

Cause: State added up evidence, uses and placements on each digest, and only tests read the sums. The daemon takes evidence from moves.Book and the rest from the entries of live daemons.

--- a/decide/member/member.go
+++ b/decide/member/member.go
@@ -76,9 +76,6 @@
 		Now   time.Time
 	}
 
-	// Moves lists the version moves in progress. Evidence of all others is dropped.
-	Moves struct{ Active []string }
-
 	// Tick makes the next digest. It comes once a second.
 	Tick struct {
 		Now time.Time
@@ -124,9 +121,6 @@
 		alive   map[string]bool
 		leaving map[string]mark
 		alarms  map[alarmKey]alarm
-		// counters holds the evidence of each run of a daemon, and counted their number.
-		counters map[runKey][]wire.Evidence
-		counted  int
 	}
 
 	// listing is a daemon on the instance list.
@@ -157,9 +151,6 @@
 		alarm   wire.Alarm
 		relayed time.Time
 	}
-
-	// runKey names one run of a daemon.
-	runKey struct{ process, incarnation string }
 )
 
 const (
@@ -169,8 +160,6 @@
 	SilentLimit = 5 * time.Second
 	// markKeep is the time that a mark, or a daemon off the list, is kept after it was last seen.
 	markKeep = 10 * time.Minute
-	// maxCounters bounds the evidence counters: 2,000 daemons with 10 versions in a move.
-	maxCounters = 20_000
 )
 
 // New returns the view of a daemon that has heard of nobody.
@@ -273,7 +262,6 @@
 func (m Own) apply(s *State) []Command {
 	m.Entry.Process = s.self
 	s.own = m.Entry
-	s.count([]wire.DigestEntry{m.Entry})
 	return nil
 }
 
@@ -289,21 +277,6 @@
 	return nil
 }
 
-// apply drops the evidence of other moves.
-func (m Moves) apply(s *State) []Command {
-	kept := make(map[runKey][]wire.Evidence, len(s.counters))
-	s.counted = 0
-	for key, list := range s.counters {
-		list = slices.DeleteFunc(slices.Clone(list), func(e wire.Evidence) bool { return !slices.Contains(m.Active, e.Move) })
-		if len(list) > 0 {
-			kept[key] = list
-			s.counted += len(list)
-		}
-	}
-	s.counters = kept
-	return nil
-}
-
 // apply tells who died or returned and makes the next digest.
 func (m Tick) apply(s *State) []Command {
 	var commands []Command
@@ -336,7 +309,6 @@
 
 // take keeps the entries that are newer than the known ones of their daemons.
 func (s *State) take(entries []wire.DigestEntry, now time.Time) {
-	s.count(entries)
 	s.peers = maps.Clone(s.peers)
 	if s.peers == nil {
 		s.peers = make(map[string]*peer)
@@ -380,38 +352,6 @@
 	return oldest != ""
 }
 
-// count raises the counters of the entries' incarnations. Counters only rise within an
-// incarnation, so that the higher one is the later one, also if it came earlier.
-func (s *State) count(entries []wire.DigestEntry) {
-	s.counters = maps.Clone(s.counters)
-	if s.counters == nil {
-		s.counters = make(map[runKey][]wire.Evidence)
-	}
-	for _, entry := range entries {
-		if len(entry.Evidence) == 0 {
-			continue
-		}
-		key := runKey{entry.Process, entry.Incarnation}
-		list := slices.Clone(s.counters[key])
-		for _, e := range entry.Evidence {
-			i := slices.IndexFunc(list, func(k wire.Evidence) bool {
-				return k.Move == e.Move && k.Route == e.Route && k.Version == e.Version
-			})
-			switch {
-			case i >= 0:
-				list[i].Requests = max(e.Requests, list[i].Requests)
-				list[i].Failures = max(e.Failures, list[i].Failures)
-				list[i].Slow = max(e.Slow, list[i].Slow)
-				list[i].Excluded = max(e.Excluded, list[i].Excluded)
-			case s.counted < maxCounters:
-				list = append(list, e)
-				s.counted++
-			}
-		}
-		s.counters[key] = list
-	}
-}
-
 // mark keeps a leaving mark and tells if it is new. A full store drops the mark that was
 // seen longest ago.
 func (s *State) mark(instance string, now time.Time) []Command {
--- a/decide/member/member_test.go
+++ b/decide/member/member_test.go
@@ -24,8 +24,7 @@
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
 // TestDigestOrderDoesNotMatter guards against a view that depends on the order, the loss or
-// the repetition of digests: an older entry must not replace a newer one, and cumulative
-// counters must not fall or count twice.
+// the repetition of digests: an older entry must not replace a newer one.
 func TestDigestOrderDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var entries []wire.DigestEntry
@@ -49,7 +48,7 @@
 		for _, e := range mixed {
 			shuffled, _ = shuffled.Update(Answered{Reply: wire.DigestReply{Entry: e}, Now: start})
 		}
-		if !reflect.DeepEqual(inOrder.peers, shuffled.peers) || !reflect.DeepEqual(inOrder.Evidence("m"), shuffled.Evidence("m")) {
+		if !reflect.DeepEqual(inOrder.peers, shuffled.peers) {
 			t.Fatalf("in order: %+v\nshuffled: %+v", inOrder.peers, shuffled.peers)
 		}
 	})
@@ -69,7 +68,6 @@
 			Entries: []wire.DigestEntry{{Process: "entry-1", Incarnation: "z", Evidence: []wire.Evidence{{Move: "m", Requests: 99}}}},
 			Leaving: []string{"engine-1"}, Alarms: []wire.Alarm{{Kind: "Version", Subject: "m", Deadline: c.now.Add(time.Hour)}},
 		}, Now: c.now},
-		Moves{},
 		Tick{Now: c.now.Add(time.Second)},
 		List{Now: c.now.Add(time.Hour)},
 	} {
@@ -82,33 +80,14 @@
 
 // describe prints a state with what its pointers lead to.
 func describe(s State) string {
-	text := fmt.Sprintf("%+v", s.counters)
+	text := ""
 	for _, process := range slices.Sorted(maps.Keys(s.peers)) {
 		text += fmt.Sprintf("\n%+v", *s.peers[process])
 	}
-	s.peers, s.counters = nil, nil
+	s.peers = nil
 	return text + fmt.Sprintf("\n%+v", s)
 }
 
-// TestCountersOfADeadDaemonStay guards against evidence that is lost with its daemon: a bad
-// version would get its first share again.
-func TestCountersOfADeadDaemonStay(t *testing.T) {
-	c := newCluster(3)
-	c.run(2 * time.Second)
-	want := c.states["entry-0"].Evidence("m")
-	c.down["entry-2"] = true
-	c.list.Instances = c.list.Instances[:2]
-	c.run(time.Minute)
-	got := c.states["entry-0"].Evidence("m")
-	if len(got) != 1 || got[0].Requests < want[0].Requests || len(c.states["entry-0"].Live(c.now)) != 2 {
-		t.Fatalf("evidence %+v after the death, %+v before", got, want)
-	}
-	s, _ := c.states["entry-0"].Update(Moves{Active: []string{"other"}})
-	if left := s.Evidence("m"); len(left) != 0 {
-		t.Fatalf("evidence of an ended move: %+v", left)
-	}
-}
-
 // TestSilentDaemonDies guards against work for a daemon that is gone, and against a daemon
 // that stays dead after it has come back under a new incarnation.
 func TestSilentDaemonDies(t *testing.T) {
@@ -223,22 +202,30 @@
 	}
 }
 
-// TestTotals guards against uses and placements of dead daemons that limits and routing
-// would go on counting.
-func TestTotals(t *testing.T) {
+// TestDeadDaemonLeavesTheLiveEntries guards against uses and placements of dead daemons that
+// limits and routing would go on counting: both read the entries of the live daemons.
+func TestDeadDaemonLeavesTheLiveEntries(t *testing.T) {
 	c := newCluster(4)
 	c.run(2 * time.Second)
-	s := c.states["entry-0"]
-	if uses := s.Uses("counter", c.now); len(uses) != 4 || uses[1].Process != "entry-1" || uses[1].Use.InFlight != 2 {
-		t.Fatalf("uses %+v", uses)
+	sum := func() (inFlight []int, requests, tokens int) {
+		s := c.states["entry-0"]
+		for _, process := range s.Live(c.now) {
+			entry, _ := s.Entry(process)
+			inFlight = append(inFlight, entry.Uses[0].InFlight)
+			if process != "entry-0" {
+				requests += entry.Placements[0].Requests
+				tokens += entry.Placements[0].Tokens
+			}
+		}
+		return inFlight, requests, tokens
 	}
-	if p := s.Placements(c.now)["engine-1"]; p.Requests != 2+3+4 || p.Tokens != 900 {
-		t.Fatalf("placements %+v", p)
+	if uses, requests, tokens := sum(); len(uses) != 4 || uses[1] != 2 || requests != 2+3+4 || tokens != 900 {
+		t.Fatalf("uses %v, %d requests and %d tokens placed", uses, requests, tokens)
 	}
 	c.down["entry-3"] = true
 	c.run(10 * time.Second)
-	if p := c.states["entry-0"].Placements(c.now)["engine-1"]; p.Requests != 2+3 {
-		t.Fatalf("placements with a dead daemon %+v", p)
+	if uses, requests, _ := sum(); len(uses) != 3 || requests != 2+3 {
+		t.Fatalf("with a dead daemon: uses %v, %d requests placed", uses, requests)
 	}
 }
 
@@ -267,13 +254,6 @@
 			t.Errorf("%s: %d", name, count)
 		}
 	}
-	counted := 0
-	for _, list := range s.counters {
-		counted += len(list)
-	}
-	if counted > maxCounters || counted != s.counted {
-		t.Errorf("counters: %d, %d by the state", counted, s.counted)
-	}
 	// The newest daemon off the list is kept and a listed one always finds room.
 	if _, ok := s.Entry("entry-24-99"); !ok {
 		t.Error("the newest daemon was dropped")
