hold: keep copies that a later one displaces

Change: a store keeps up to three former copies of a request that the present one does not cover, also when an owner that stops keeps its own copy beside a newer one. They are found by lookups, taken over by branch, and are the first to make room.

--- a/decide/hold/owned.go
+++ b/decide/hold/owned.go
@@ -299,7 +299,7 @@
 	}
 	o.Waiting = true
 	return o, []OwnerCommand{SendProgress{Holder: o.Record.Holder, Update: wire.ProgressUpdate{
-		RequestID: o.Record.RequestID, Epoch: o.Record.Epoch, Branch: lastBranch(o.Record),
+		RequestID: o.Record.RequestID, Epoch: o.Record.Epoch, Branch: LastBranch(o.Record),
 		Offset: o.Acked, Tokens: slices.Clone(o.Record.Tokens[o.Acked:]),
 		Finish: o.Record.Finish, Refusal: o.Record.Refusal,
 	}}}
@@ -309,7 +309,7 @@
 // holder lacks yet are part of the same answer.
 func (o Owned) start(commands []OwnerCommand) (Owned, []OwnerCommand) {
 	o.Attempts++
-	o.Attempt = ident.AttemptID(fmt.Sprintf("%s.%s.%d", o.Record.RequestID, lastBranch(o.Record), o.Attempts))
+	o.Attempt = ident.AttemptID(fmt.Sprintf("%s.%s.%d", o.Record.RequestID, LastBranch(o.Record), o.Attempts))
 	return o, append(commands, StartAttempt{Attempt: o.Attempt, Resume: slices.Clone(o.Record.Tokens)})
 }
 
--- a/decide/hold/room.go
+++ b/decide/hold/room.go
@@ -2,19 +2,31 @@
 
 import "lentilstage.dev/wire/wire"
 
-// makeRoom drops finished records, the oldest first, until a record of the size fits or
-// none is left. Records in progress are never dropped: their callers rely on the copy.
+// makeRoom drops former copies and then finished records, the oldest first, until a record of
+// the size fits or none is left. Records in progress are never dropped: their callers rely on
+// the copy.
 func (s *Store) makeRoom(added int, isNew bool) {
-	for len(s.finished) > 0 && (s.bytes+added > s.limits.MaxBytes || isNew && len(s.records) >= s.limits.MaxRecords) {
+	for s.bytes+added > s.limits.MaxBytes && s.dropOldestFormer() {
+	}
+	if !isNew {
+		return
+	}
+	for len(s.finished) > 0 && (s.bytes+added > s.limits.MaxBytes || len(s.records) >= s.limits.MaxRecords) {
 		id := s.finished[0]
 		s.finished = s.finished[1:]
 		if record, ok := s.records[id]; ok && ended(record) {
-			s.bytes -= size(record)
-			delete(s.records, id)
+			s.remove(id)
 		}
 	}
 }
 
+// remove drops all copies of a request.
+func (s *Store) remove(id string) {
+	s.bytes -= size(s.records[id])
+	delete(s.records, id)
+	s.dropFormer(func(r wire.HeldRequest) bool { return r.RequestID == id })
+}
+
 // noteFinished queues a record that has just ended, as the next to make room.
 func (s *Store) noteFinished(known, record wire.HeldRequest) {
 	if ended(record) && !ended(known) {
--- a/decide/hold/room_test.go
+++ b/decide/hold/room_test.go
@@ -26,7 +26,7 @@
 			t.Fatalf("record %d was answered %s", n, status)
 		}
 	}
-	if _, ok := store.Lookup("", "running"); !ok {
+	if len(store.Lookup("", "running")) == 0 {
 		t.Fatal("the request in progress was dropped")
 	}
 	keep("second", "")
--- a/decide/hold/store.go
+++ b/decide/hold/store.go
@@ -39,6 +39,9 @@
 	Store struct {
 		limits  Limits
 		records map[string]wire.HeldRequest
+		// former are copies that takeovers have continued in another way than the record, so
+		// that the record does not cover them. A caller may have seen tokens of either.
+		former map[string][]wire.HeldRequest
 		// finished are the ended records in the order of their ends.
 		finished []string
 		// owned holds the epochs with which this daemon became the owner of requests.
@@ -53,6 +56,9 @@
 	KeepAsked struct {
 		Now    time.Time
 		Record wire.HeldRequest
+		// Acknowledged says that a holder had all of the record, so that callers may have seen
+		// it. Such a copy is kept beside one that ranks before it.
+		Acknowledged bool
 	}
 
 	// ProgressAsked asks the store to add tokens to a record.
@@ -108,7 +114,10 @@
 
 // NewStore returns an empty store.
 func NewStore(limits Limits) Store {
-	return Store{limits: limits, records: map[string]wire.HeldRequest{}, owned: map[string]int64{}}
+	return Store{
+		limits: limits, records: map[string]wire.HeldRequest{},
+		former: map[string][]wire.HeldRequest{}, owned: map[string]int64{},
+	}
 }
 
 // Len returns the number of records.
@@ -117,13 +126,19 @@
 // Bytes returns the size of all bodies and tokens.
 func (s Store) Bytes() int { return s.bytes }
 
-// Lookup returns the account's record of a request. Another account's record is not found.
-func (s Store) Lookup(account, requestID string) (wire.HeldRequest, bool) {
-	record, ok := s.records[requestID]
-	if !ok || record.Account != account {
-		return wire.HeldRequest{}, false
+// Lookup returns the account's copies of a request, the present one first. Another account's
+// are not found.
+func (s Store) Lookup(account, requestID string) []wire.HeldRequest {
+	var found []wire.HeldRequest
+	if record, ok := s.records[requestID]; ok && record.Account == account {
+		found = append(found, record)
+	}
+	for _, record := range s.former[requestID] {
+		if record.Account == account {
+			found = append(found, record)
+		}
 	}
-	return record, true
+	return found
 }
 
 // Update applies a message and returns the store and its answers.
@@ -137,6 +152,7 @@
 		return s.takeOver(m)
 	case OwnedHere:
 		s.owned[m.Record.RequestID] = m.Record.Epoch
+		s.dropCovered(m.Record)
 		if Covers(m.Record, end(s.records[m.Record.RequestID])) {
 			s.bytes -= size(s.records[m.Record.RequestID])
 			delete(s.records, m.Record.RequestID)
@@ -155,9 +171,7 @@
 	}
 	record := m.Record
 	known, ok := s.records[record.RequestID]
-	if !ok {
-		s.makeRoom(size(record), true)
-	}
+	s.makeRoom(size(record)-size(known), !ok)
 	switch {
 	case record.Epoch < s.owned[record.RequestID]:
 		return answer(wire.ProgressStale, s.owned[record.RequestID])
@@ -165,8 +179,11 @@
 		// The identifier is in use for another request, whose record must not be replaced.
 		return answer(wire.ProgressStale, known.Epoch)
 	case ok && (record.Epoch < known.Epoch || record.Epoch == known.Epoch && !sameOwnership(record, known)):
+		if m.Acknowledged {
+			s.displace(record, known, m.Now)
+		}
 		return answer(wire.ProgressStale, known.Epoch)
-	case ok && record.Epoch == known.Epoch && lastBranch(record) == lastBranch(known) && covered(record, known):
+	case ok && record.Epoch == known.Epoch && LastBranch(record) == LastBranch(known) && covered(record, known):
 		// A late copy of an earlier hold; the held record already goes further.
 		return answer(wire.ProgressTaken, known.Epoch)
 	case !ok && len(s.records) >= s.limits.MaxRecords,
@@ -176,6 +193,7 @@
 	record.Tokens = slices.Clone(record.Tokens)
 	record.Branches = slices.Clone(record.Branches)
 	s.put(known, record, m.Now)
+	s.displace(known, record, m.Now)
 	return answer(wire.ProgressTaken, record.Epoch)
 }
 
@@ -183,14 +201,15 @@
 // owner that has the epoch here. The owner's name is not enough, since a daemon that has
 // lost a request may accept it again with the same epoch and then has other tokens.
 func sameOwnership(record, held wire.HeldRequest) bool {
-	if lastBranch(record) == lastBranch(held) {
+	if LastBranch(record) == LastBranch(held) {
 		return true
 	}
 	return record.Owner == held.Owner && len(record.Branches) == len(held.Branches)+1 &&
 		slices.Equal(record.Branches[:len(held.Branches)], held.Branches)
 }
 
-func lastBranch(record wire.HeldRequest) string {
+// LastBranch returns the identifier of the latest ownership that has added to the record.
+func LastBranch(record wire.HeldRequest) string {
 	if len(record.Branches) == 0 {
 		return ""
 	}
@@ -215,7 +234,7 @@
 		return answer(wire.ProgressStale)
 	case !ok:
 		return answer(wire.ProgressMissing)
-	case update.Epoch < known.Epoch || update.Epoch == known.Epoch && update.Branch != lastBranch(known):
+	case update.Epoch < known.Epoch || update.Epoch == known.Epoch && update.Branch != LastBranch(known):
 		return answer(wire.ProgressStale)
 	case update.Epoch > known.Epoch || update.Offset < 0 || update.Offset > len(known.Tokens):
 		return answer(wire.ProgressMissing)
@@ -228,6 +247,7 @@
 	if !ended(known) {
 		record.Finish, record.Refusal = update.Finish, update.Refusal
 	}
+	s.makeRoom(size(record)-size(known), false)
 	if s.bytes-size(known)+size(record) > s.limits.MaxBytes {
 		return answer(wire.ProgressFull)
 	}
@@ -247,15 +267,21 @@
 }
 
 func (s Store) takeOver(m TakeOverAsked) (Store, []StoreCommand) {
-	known, ok := s.Lookup(m.Request.Account, m.Request.RequestID)
-	if !ok {
+	copies := s.Lookup(m.Request.Account, m.Request.RequestID)
+	i := slices.IndexFunc(copies, func(r wire.HeldRequest) bool {
+		return m.Request.Branch == "" || LastBranch(r) == m.Request.Branch
+	})
+	if i < 0 {
 		return s, []StoreCommand{TakeOverAnswer{}}
 	}
-	record := known
-	record.Epoch++
+	known, record := s.records[m.Request.RequestID], copies[i]
+	record.Epoch = max(known.Epoch, record.Epoch) + 1
 	record.Owner = m.Request.NewOwner
-	s.put(known, record, m.Now)
-	record = s.records[record.RequestID]
+	if _, ok := s.records[record.RequestID]; ok || len(s.records) < s.limits.MaxRecords {
+		s.put(known, record, m.Now)
+		s.displace(known, record, m.Now)
+		record = s.records[record.RequestID]
+	}
 	return s, []StoreCommand{TakeOverAnswer{Reply: wire.TakeOverReply{Taken: true, Record: record}}}
 }
 
@@ -269,10 +295,10 @@
 	slices.Sort(names)
 	commands := make([]StoreCommand, 0, len(names))
 	for _, id := range names {
-		s.bytes -= size(s.records[id])
-		delete(s.records, id)
+		s.remove(id)
 		commands = append(commands, Dropped{RequestID: id})
 	}
+	s.dropFormer(func(r wire.HeldRequest) bool { return now.After(r.KeepUntil) })
 	// The list would otherwise grow by one name for each answer in a store that never fills.
 	s.finished = slices.DeleteFunc(s.finished, func(id string) bool { return !ended(s.records[id]) })
 	return s, commands
--- a/decide/hold/world_test.go
+++ b/decide/hold/world_test.go
@@ -235,6 +235,11 @@
 	for _, r := range d.store.records {
 		total += size(r)
 	}
+	for _, formers := range d.store.former {
+		for _, r := range formers {
+			total += size(r)
+		}
+	}
 	if total != d.store.Bytes() || total > d.store.limits.MaxBytes || d.store.Len() > d.store.limits.MaxRecords {
 		w.fail("store of %s counts %d bytes in %d records and holds %d", d.incarnation, d.store.Bytes(), d.store.Len(), total)
 	}
@@ -340,6 +345,7 @@
 
 type source struct {
 	daemon string
+	branch string
 	owned  bool
 }
 
@@ -355,13 +361,13 @@
 		if w.chance(w.loss) {
 			continue
 		}
-		if r, ok := other.store.Lookup(request.Account, request.RequestID); ok {
-			records, sources = append(records, r), append(sources, source{other.incarnation, false})
+		for _, r := range other.store.Lookup(request.Account, request.RequestID) {
+			records, sources = append(records, r), append(sources, source{other.incarnation, LastBranch(r), false})
 		}
 		if l := other.owned[request.RequestID]; l != nil {
 			r := l.owned.Record
 			r.Tokens = slices.Clone(r.Tokens[:l.owned.Acked])
-			records, sources = append(records, r), append(sources, source{other.incarnation, true})
+			records, sources = append(records, r), append(sources, source{other.incarnation, "", true})
 		}
 	}
 	at := c.at
@@ -412,7 +418,7 @@
 			}
 			if !from.owned {
 				next, commands := d.store.Update(TakeOverAsked{Now: w.now, Request: wire.TakeOverRequest{
-					RequestID: request.RequestID, Account: request.Account, NewOwner: incarnation,
+					RequestID: request.RequestID, Account: request.Account, NewOwner: incarnation, Branch: from.branch,
 				}})
 				d.store = next
 				if reply := commands[0].(TakeOverAnswer).Reply; reply.Taken {
@@ -542,7 +548,7 @@
 			func(s Store) (Store, wire.ProgressStatus) {
 				update := c.Update
 				if known, ok := s.records[update.RequestID]; ok && w.weak == ignoresEpoch {
-					update.Epoch, update.Branch = known.Epoch, lastBranch(known)
+					update.Epoch, update.Branch = known.Epoch, LastBranch(known)
 				}
 				next, commands := s.Update(ProgressAsked{Now: w.now, Update: update})
 				return next, commands[0].(ProgressAnswer).Status
@@ -561,7 +567,7 @@
 	case SendEnd:
 		w.toCaller(l, c.Caller, func(to *caller) { w.receiveEnd(to, c) })
 	case KeepCopy:
-		next, _ := d.store.Update(KeepAsked{Now: w.now, Record: c.Record})
+		next, _ := d.store.Update(KeepAsked{Now: w.now, Record: c.Record, Acknowledged: true})
 		d.store = next
 	case Stop:
 		if d.owned[l.owned.Record.RequestID] == l {
--- a/entryd/entry/holder.go
+++ b/entryd/entry/holder.go
@@ -54,16 +54,20 @@
 	return h.store.Len()
 }
 
-// lookup returns the account's copy of a request.
-func (h *holder) lookup(account, id string) (wire.HeldRequest, bool) {
+// lookup returns the account's copies of a request.
+func (h *holder) lookup(account, id string) wire.LookupReply {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.store.Lookup(account, id)
+	copies := h.store.Lookup(account, id)
+	if len(copies) == 0 {
+		return wire.LookupReply{}
+	}
+	return wire.LookupReply{Held: true, Record: copies[0], Former: copies[1:]}
 }
 
-// hold keeps a whole record.
-func (h *holder) hold(record wire.HeldRequest) wire.HoldReply {
-	for _, c := range h.tell(hold.KeepAsked{Now: h.base.Now(), Record: record}) {
+// hold keeps a whole record. An acknowledged one is kept also beside a copy that ranks before it.
+func (h *holder) hold(record wire.HeldRequest, acknowledged bool) wire.HoldReply {
+	for _, c := range h.tell(hold.KeepAsked{Now: h.base.Now(), Record: record, Acknowledged: acknowledged}) {
 		if answer, ok := c.(hold.KeepAnswer); ok {
 			return answer.Reply
 		}
--- a/entryd/entry/locate.go
+++ b/entryd/entry/locate.go
@@ -82,8 +82,8 @@
 		})
 	}
 	calls.Wait()
-	if record, ok := l.holder.lookup(account, id); ok {
-		replies = append(replies, found{daemon: l.base.Settings.Name, reply: wire.LookupReply{Held: true, Record: record}})
+	if reply := l.holder.lookup(account, id); reply.Held {
+		replies = append(replies, found{daemon: l.base.Settings.Name, reply: reply})
 	}
 	return replies
 }
@@ -113,16 +113,21 @@
 
 // takeOver takes the request from the holder whose copy goes on from the caller's.
 func (l *locator) takeOver(account, id string, position hold.Position, replies []found) (located, *codes.Refusal) {
-	records := make([]wire.HeldRequest, 0, len(replies))
+	var records []wire.HeldRequest
+	var daemons []string
 	for _, f := range replies {
-		records = append(records, f.reply.Record)
+		for _, r := range append([]wire.HeldRequest{f.reply.Record}, f.reply.Former...) {
+			records, daemons = append(records, r), append(daemons, f.daemon)
+		}
 	}
 	best := hold.Choose(records, position)
 	if best < 0 {
 		return located{}, codes.Refuse(codes.RequestUnknown, "no daemon holds request %s as this caller knows it", id)
 	}
-	request := wire.TakeOverRequest{RequestID: id, Account: account, NewOwner: l.base.Settings.Name}
-	reply, err := l.takeFrom(replies[best].daemon, request)
+	request := wire.TakeOverRequest{
+		RequestID: id, Account: account, NewOwner: l.base.Settings.Name, Branch: hold.LastBranch(records[best]),
+	}
+	reply, err := l.takeFrom(daemons[best], request)
 	if err != nil || !reply.Taken {
 		return located{}, codes.Refuse(codes.Moved, "request %s could not be taken over", id).
 			WithRetryAt(l.base.Now().Add(retryDelay))
@@ -135,7 +140,7 @@
 	l.base.Counters.takenOver.Inc(1)
 	l.base.emit(event.Event{
 		Kind: "RequestTakenOver", Request: id, Account: account, Route: reply.Record.Route,
-		Reason:  "its owner does not answer; the copy is from " + replies[best].daemon,
+		Reason:  "its owner does not answer; the copy is from " + daemons[best],
 		Numbers: []event.Number{{Name: "Tokens", Value: float64(len(reply.Record.Tokens))}, {Name: "Epoch", Value: float64(reply.Record.Epoch)}},
 	})
 	taken, refusal := l.requests.own(reply.Record, chat)
--- a/entryd/entry/rpc.go
+++ b/entryd/entry/rpc.go
@@ -50,7 +50,7 @@
 
 // Hold keeps a whole record for its owner.
 func (p *PeerService) Hold(record wire.HeldRequest, reply *wire.HoldReply) error {
-	*reply = p.daemon.holder.hold(record)
+	*reply = p.daemon.holder.hold(record, false)
 	return nil
 }
 
@@ -67,7 +67,7 @@
 		reply.Record = owned.record()
 		return nil
 	}
-	reply.Record, reply.Held = p.daemon.holder.lookup(request.Account, request.RequestID)
+	*reply = p.daemon.holder.lookup(request.Account, request.RequestID)
 	return nil
 }
 
--- a/entryd/entry/run.go
+++ b/entryd/entry/run.go
@@ -95,7 +95,7 @@
 		case hold.GiveRecord:
 			o.given <- c.Record
 		case hold.KeepCopy:
-			o.requests.holder.hold(c.Record)
+			o.requests.holder.hold(c.Record, true)
 		case hold.Stop:
 			o.requests.holder.tell(hold.OwnedElsewhere{RequestID: o.id})
 			o.end()
--- a/wire/wire/peer.go
+++ b/wire/wire/peer.go
@@ -91,6 +91,8 @@
 		Owned  bool
 		Held   bool
 		Record HeldRequest
+		// Former are copies that the record does not cover.
+		Former []HeldRequest
 	}
 
 	// TakeOverRequest takes the ownership of a request from a holder or owner.
@@ -98,6 +100,8 @@
 		RequestID string
 		Account   string
 		NewOwner  string
+		// Branch is the last branch of the wanted copy. Empty takes the present one.
+		Branch string
 	}
 
 	// TakeOverReply carries the record with the raised epoch.
