relay: bound the time of a body

Cause: a header had a limit and a body none; a caller could hold a connection by sending a body in small pieces (TestSlowSenders: held 24 s until the test closed it). Change: a body is read by the request's deadline; later it is answered 408.

--- a/entryd/relay/server.go
+++ b/entryd/relay/server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"lentilstage.dev/domain/setup"
@@ -95,15 +96,22 @@
 	return true
 }
 
-// readBody reads the request's body. It returns false if the caller left or sent too much.
+// readBody reads the request's body by the request's deadline. It returns false if the caller left
+// or sent too much or too slowly.
 func (x *exchange) readBody() bool {
 	limit := int64(maxBodyUnknown)
 	if x.config.Limits.MaxBody > 0 {
 		limit = x.config.Limits.MaxBody
 	}
+	connection := http.NewResponseController(x.writer)
+	_ = connection.SetReadDeadline(time.Now().Add(x.deadline.Sub(x.daemon.clock.now())))
 	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.writer.Header().Set("Connection", "close")
+		x.refuse(http.StatusRequestTimeout, "BodyTooSlow", time.Time{}, "Read", len(body))
+		return false
 	case errors.As(err, &tooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "BodyTooLarge", time.Time{}, "Limit", limit)
 		return false
@@ -111,6 +119,7 @@
 		x.log("Caller left.", "Reason", "BodyNotRead", "Error", err.Error())
 		panic(http.ErrAbortHandler)
 	}
+	_ = connection.SetReadDeadline(time.Time{})
 	x.call.Body = body
 	return true
 }
