relay, shift: roll-outs are shared by all daemons

Cause: a daemon that started or heard of an order late began its time anew, so that a new holder of the duty told the end late; good answers after a stop could start a bad version again; a new holder could tell another verdict after a final one; a starting daemon without the log knew no orders.

--- a/decide/shift/shift.go
+++ b/decide/shift/shift.go
@@ -26,8 +26,10 @@
 		Target   string
 		Deadline time.Time
 		decideAt time.Time
+		began    time.Time
 		good     int64
 		bad      int64
+		stopped  bool
 	}
 )
 
@@ -53,19 +55,41 @@
 // New returns a roll-out that was ordered at a time and must have ended by the deadline.
 func New(target string, deadline, now time.Time) State {
 	wait := time.Duration(decidePart * float64(deadline.Sub(now)))
-	return State{Target: target, Deadline: deadline, decideAt: now.Add(wait)}
+	return State{Target: target, Deadline: deadline, decideAt: now.Add(wait), began: now}
 }
 
-// WithOutcomes returns the state with the good and bad answers of the new version so far.
+// Age returns the time since the order.
+func (s State) Age(now time.Time) time.Duration { return now.Sub(s.began) }
+
+// WithAge returns the state of an order that is at least so old. A daemon that has started after
+// the order learns its age from others, and must not begin the time anew.
+func (s State) WithAge(age time.Duration, now time.Time) State {
+	began := now.Add(-age)
+	if !began.Before(s.began) {
+		return s
+	}
+	earlier := s.began.Sub(began)
+	s.began, s.decideAt, s.Deadline = began, s.decideAt.Add(-earlier), s.Deadline.Add(-earlier)
+	return s
+}
+
+// Stop returns the state with the new version stopped for good.
+func (s State) Stop() State {
+	s.stopped = true
+	return s
+}
+
+// WithOutcomes returns the state with the good and bad answers of the new version so far. A
+// version that they stop stays stopped, whatever comes later: the verdict may have been told.
 func (s State) WithOutcomes(good, bad int64) State {
 	s.good, s.bad = max(s.good, good), max(s.bad, bad)
+	tooMany := s.bad >= leastBad && float64(s.bad) >= badPart*float64(s.good+s.bad)
+	s.stopped = s.stopped || s.bad >= mostBad || tooMany
 	return s
 }
 
 // Stopped reports whether the new version must get no more requests.
-func (s State) Stopped() bool {
-	return s.bad >= mostBad || s.bad >= leastBad && float64(s.bad) >= badPart*float64(s.good+s.bad)
-}
+func (s State) Stopped() bool { return s.stopped }
 
 // ToNew reports whether a request goes to the new version, by a number from 0 up to but
 // without 1.
--- a/decide/shift/shift_test.go
+++ b/decide/shift/shift_test.go
@@ -44,3 +44,32 @@
 		t.Error("a stopped version gets a request")
 	}
 }
+
+// TestStopIsForGood guards against a version that gets requests again after it was stopped, since
+// good answers that come late lower the part of bad ones.
+func TestStopIsForGood(t *testing.T) {
+	start := time.Unix(1000, 0)
+	s := New("v2", start.Add(10*time.Second), start).WithOutcomes(2, 4).WithOutcomes(100, 4)
+	if got := s.Verdict(start.Add(9 * time.Second)); got != RolledBack {
+		t.Errorf("%s after good answers that came late, want %s", got, RolledBack)
+	}
+}
+
+// TestAgeOfOthers guards against a daemon that learns of an order late and ends it late.
+func TestAgeOfOthers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	late := start.Add(7 * time.Second)
+	s := New("v2", late.Add(10*time.Second), late).WithAge(7*time.Second, late).WithOutcomes(10, 0)
+	if got := s.Verdict(start.Add(7900 * time.Millisecond)); got != InProgress {
+		t.Errorf("%s before four fifths of the time", got)
+	}
+	if got := s.Verdict(start.Add(8 * time.Second)); got != Completed {
+		t.Errorf("%s at four fifths of the time, want %s", got, Completed)
+	}
+	if got := s.Age(late); got != 7*time.Second {
+		t.Errorf("age %v, want 7 s", got)
+	}
+	if got := s.WithAge(time.Second, late).Age(late); got != 7*time.Second {
+		t.Errorf("age %v after a younger one was told", got)
+	}
+}
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -162,7 +162,7 @@
 		d.tables.leaveHub(now)
 	}
 	g.greet(now)
-	digest := d.tables.digest()
+	digest := d.tables.digest(d.clock.now())
 	digest.Digest = true
 	g.sign(&digest)
 	for _, h := range d.members.hubs(now) {
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"lentilstage.dev/decide/shift"
 )
 
 type (
@@ -49,6 +51,11 @@
 		Target string `cbor:"1,keyasint"`
 		Good   int64  `cbor:"2,keyasint"`
 		Bad    int64  `cbor:"3,keyasint"`
+		// AgeMS is the time since the order as far as the sender knows.
+		AgeMS int64 `cbor:"4,keyasint,omitempty"`
+		// Stopped says that the version gets no more requests, Ended the verdict that was told.
+		Stopped bool          `cbor:"5,keyasint,omitempty"`
+		Ended   shift.Verdict `cbor:"6,keyasint,omitempty"`
 	}
 
 	// totals are what a hub tells of all daemons.
--- a/entryd/relay/rollout.go
+++ b/entryd/relay/rollout.go
@@ -13,11 +13,12 @@
 
 // rollout is a roll-out of a service with this daemon's count of the new version's answers.
 type rollout struct {
-	order Rollout
-	state shift.State
-	good  int64
-	bad   int64
-	told  shift.Verdict
+	order  Rollout
+	offset int64
+	state  shift.State
+	good   int64
+	bad    int64
+	told   shift.Verdict
 }
 
 // takeRollout takes in a record of the operators that may order a roll-out.
@@ -30,22 +31,49 @@
 		d.logger.WithName("rollout").Info("Record can't be used.", "Key", r.Key, "Offset", r.Offset, "Error", err.Error())
 		return
 	}
-	if d.tables.rollOut(order, d.clock.now()) {
+	if d.tables.rollOut(order, r, d.clock.now()) {
 		d.logger.WithName("rollout").Info("Roll-out ordered.", "Service", order.Service, "Target", order.Target, "Length", order.Length)
 	}
 }
 
-// rollOut begins a roll-out unless it is known, and reports whether it is new.
-func (t *tables) rollOut(order Rollout, now time.Time) bool {
+// rollOut begins a roll-out unless it or a newer one is known, and reports whether it is new.
+func (t *tables) rollOut(order Rollout, record Record, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if known, ok := t.rollouts[order.Service]; ok && known.order == order {
+	if known, ok := t.rollouts[order.Service]; ok && (known.order == order || record.Offset <= known.offset) {
 		return false
 	}
-	t.rollouts[order.Service] = &rollout{order: order, state: shift.New(order.Target, now.Add(order.Length), now)}
+	t.raw[Operators][record.Key] = record
+	t.rollouts[order.Service] = &rollout{
+		order: order, offset: record.Offset, state: shift.New(order.Target, now.Add(order.Length), now),
+	}
 	return true
 }
 
+// outcomes returns what this daemon tells of the roll-out.
+func (r *rollout) outcomes(now time.Time) outcomes {
+	o := outcomes{
+		Target: r.order.Target, Good: r.good, Bad: r.bad, AgeMS: r.state.Age(now).Milliseconds(), Stopped: r.state.Stopped(),
+	}
+	if r.ended() {
+		o.Ended = r.told
+	}
+	return o
+}
+
+// ended reports whether a final verdict was told.
+func (r *rollout) ended() bool { return r.told == shift.Completed || r.told == shift.RolledBack }
+
+// plus returns the outcomes of two daemons together.
+func (o outcomes) plus(other outcomes) outcomes {
+	o.Target, o.Good, o.Bad = other.Target, o.Good+other.Good, o.Bad+other.Bad
+	o.AgeMS, o.Stopped = max(o.AgeMS, other.AgeMS), o.Stopped || other.Stopped
+	if o.Ended == "" {
+		o.Ended = other.Ended
+	}
+	return o
+}
+
 // byVersion returns the candidates of the version that a request of a service in a roll-out
 // goes to. Where only one version is left, the roll-out has ended.
 func (t *tables) byVersion(service string, candidates []choice.Candidate, random float64) []choice.Candidate {
@@ -68,7 +96,7 @@
 }
 
 // count counts an answer of a version in a roll-out.
-func (t *tables) count(endpoint setup.Endpoint, kind health.OutcomeKind) {
+func (t *tables) count(endpoint setup.Endpoint, kind health.OutcomeKind, now time.Time) {
 	r, ok := t.rollouts[endpoint.Service]
 	if !ok || endpoint.Version != r.state.Target {
 		return
@@ -78,23 +106,37 @@
 	} else {
 		r.bad++
 	}
-	t.sumOutcomes(r)
+	t.sumOutcomes(r, now)
 }
 
-// sumOutcomes gives the roll-out the answers that all daemons have told.
-func (t *tables) sumOutcomes(r *rollout) {
-	good, bad := r.good, r.bad
+// sumOutcomes gives the roll-out what all daemons have told. A verdict that another daemon has
+// told is this one's too, so that a new holder of the duty does not tell another.
+func (t *tables) sumOutcomes(r *rollout, now time.Time) {
+	sum := outcomes{Target: r.order.Target, Good: r.good, Bad: r.bad}
 	add := func(p peerLoads) {
 		if o, ok := p.outcomes[r.order.Service]; ok && o.Target == r.order.Target {
-			good += o.Good
-			bad += o.Bad
+			sum = sum.plus(o)
 		}
 	}
 	add(t.hubLoads)
 	for _, p := range t.peers {
 		add(p)
 	}
-	r.state = r.state.WithOutcomes(good, bad)
+	r.state = r.state.WithOutcomes(sum.Good, sum.Bad).WithAge(time.Duration(sum.AgeMS)*time.Millisecond, now)
+	if sum.Stopped {
+		r.state = r.state.Stop()
+	}
+	if sum.Ended != "" && !r.ended() {
+		r.tell(sum.Ended)
+	}
+}
+
+// tell notes a verdict that the operators can read.
+func (r *rollout) tell(v shift.Verdict) {
+	r.told = v
+	if v == shift.RolledBack {
+		r.state = r.state.Stop()
+	}
 }
 
 // verdicts returns the roll-outs whose verdict was not told yet.
@@ -103,9 +145,8 @@
 	defer t.mutex.Unlock()
 	changed := map[Rollout]shift.Verdict{}
 	for _, r := range t.rollouts {
-		t.sumOutcomes(r)
-		ended := r.told == shift.Completed || r.told == shift.RolledBack
-		if v := r.state.Verdict(now); v != r.told && !ended {
+		t.sumOutcomes(r, now)
+		if v := r.state.Verdict(now); v != r.told && !r.ended() {
 			changed[r.order] = v
 		}
 	}
@@ -133,11 +174,11 @@
 	}
 }
 
-// told notes a verdict that the operators can read.
+// told notes a verdict that this daemon has written.
 func (t *tables) told(order Rollout, v shift.Verdict) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if r, ok := t.rollouts[order.Service]; ok && r.order == order {
-		r.told = v
+		r.tell(v)
 	}
 }
--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -9,7 +9,7 @@
 )
 
 // digest returns what this daemon tells of itself.
-func (t *tables) digest() message {
+func (t *tables) digest(now time.Time) message {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	m := message{Loads: map[uint32]load{}, Used: map[string]int64{}, Counts: map[int64]map[string]int64{}}
@@ -25,7 +25,7 @@
 	}
 	m.Outcomes = map[string]outcomes{}
 	for service, r := range t.rollouts {
-		m.Outcomes[service] = outcomes{Target: r.order.Target, Good: r.good, Bad: r.bad}
+		m.Outcomes[service] = r.outcomes(now)
 	}
 	newest := int64(0)
 	own := t.usage.Own()
@@ -155,7 +155,7 @@
 
 // sums returns the loads and uses of all daemons, this one included, which may be young.
 func (t *tables) sums(now time.Time, young bool) sums {
-	own := t.digest()
+	own := t.digest(now)
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	s := sums{
@@ -172,7 +172,7 @@
 		for service, o := range p.outcomes {
 			sum := s.outcomes[service]
 			if sum.Target == "" || sum.Target == o.Target {
-				s.outcomes[service] = outcomes{Target: o.Target, Good: sum.Good + o.Good, Bad: sum.Bad + o.Bad}
+				s.outcomes[service] = sum.plus(o)
 			}
 		}
 		for account, used := range p.used {
@@ -198,7 +198,8 @@
 	}
 	for service, o := range p.outcomes {
 		if sum := m.Outcomes[service]; sum.Target == o.Target {
-			m.Outcomes[service] = outcomes{Target: o.Target, Good: sum.Good - o.Good, Bad: sum.Bad - o.Bad}
+			sum.Good, sum.Bad = sum.Good-o.Good, sum.Bad-o.Bad
+			m.Outcomes[service] = sum
 		}
 	}
 	for id, l := range p.loads {
--- a/entryd/relay/sums_test.go
+++ b/entryd/relay/sums_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"lentilstage.dev/decide/shift"
 )
 
 // TestTotalsLeaveTheReceiverOut guards against a daemon that counts its own loads, use or answers
@@ -30,3 +32,35 @@
 		t.Errorf("outcomes %+v, want %+v", got, want)
 	}
 }
+
+// TestRolloutIsShared guards against a daemon that starts late and begins an order's time anew, sends
+// requests to a version that another one has stopped, or tells another verdict after a final one.
+func TestRolloutIsShared(t *testing.T) {
+	now := time.Unix(1000, 0)
+	order := Rollout{Service: "pool", Target: "v2", Length: 10 * time.Second}
+	late := func(o outcomes) *rollout {
+		d := newTables(Settings{Name: "entry-2"}, "first")
+		d.rollOut(order, Record{Key: "pool", Offset: 5}, now)
+		d.heard(message{Daemon: "entry-1", Incarnation: "1", Outcomes: map[string]outcomes{"pool": o}}, now)
+		d.verdicts(now)
+		return d.rollouts["pool"]
+	}
+	if r := late(outcomes{Target: "v2", Good: 10, AgeMS: 8000}); r.state.Verdict(now) != shift.Completed {
+		t.Errorf("%s at the age that another daemon tells, want %s", r.state.Verdict(now), shift.Completed)
+	}
+	if r := late(outcomes{Target: "v2", Stopped: true}); r.state.ToNew(0) {
+		t.Error("a request goes to a version that another daemon has stopped")
+	}
+	d := newTables(Settings{Name: "entry-3"}, "first")
+	d.rollOut(order, Record{Key: "pool", Offset: 5}, now)
+	d.heard(message{Daemon: "entry-1", Incarnation: "1", Outcomes: map[string]outcomes{"pool": {Target: "v2", Ended: shift.RolledBack}}}, now)
+	if changed := d.verdicts(now); len(changed) != 0 || d.rollouts["pool"].state.ToNew(0) {
+		t.Errorf("verdicts %v after a final one was told", changed)
+	}
+	if d.rollOut(Rollout{Service: "pool", Target: "v1"}, Record{Key: "pool", Offset: 4}, now) {
+		t.Error("an older order replaces a newer one")
+	}
+	if got := d.snapshot().Operators; len(got) != 1 || got[0].Key != "pool" {
+		t.Errorf("snapshot has %v, want the order", got)
+	}
+}
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -448,7 +448,7 @@
 func (t *tables) judge(endpoint setup.Endpoint, kind health.OutcomeKind, predicted, actual time.Duration, now time.Time) []health.Command {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.count(endpoint, kind)
+	t.count(endpoint, kind, now)
 	var commands []health.Command
 	t.health, commands = t.health.Update(health.Outcome{
 		Time: now, Instance: endpoint.ID, Route: endpoint.Service, Version: endpoint.Version, Kind: kind,
