quota, relay: followers of a hub reserve for daemons that are cut off

A hub reserves the even parts of silent daemons, but its followers hear its totals only and took the whole allowance, while the daemons behind the cut took their even parts; a daemon that became its own hub knew only those that it heard. TestCutBehindHubs fails first (103800 of 103400). Change: totals tell how many daemons the hub does not hear, and followers reserve their parts; a daemon that turns to the digests of all counts every daemon that it knows. TestNewHubCountsTheSilent checks the second.

--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -40,7 +40,9 @@
 		Daemon      string
 		Incarnation string
 		Daemons     int
-		Used        map[string]float64
+		// Silent is how many of the daemons that the peer stands for are not heard by it.
+		Silent int
+		Used   map[string]float64
 		// Recent is the part of Used that can't have been counted before, since its daemons have
 		// just started. It is taken off when the peer is heard for the first time.
 		Recent map[string]float64
@@ -52,9 +54,11 @@
 		Now time.Time
 	}
 
-	// Listed says that a daemon is known from the log though it may not have been heard.
+	// Listed says that a daemon is known though it may not have been heard. It counts as silent
+	// unless it is heard soon after Since; a zero Since makes it so at once.
 	Listed struct {
 		Daemon string
+		Since  time.Time
 		Now    time.Time
 	}
 
@@ -93,6 +97,10 @@
 	peer struct {
 		incarnation string
 		daemons     float64
+		// hidden is how many of the daemons the peer does not hear, and reserved what was taken
+		// off for them.
+		hidden   float64
+		reserved map[string]float64
 		used        map[string]float64
 		// assumed is what was taken off for the peer since its last digest, and rates what it
 		// used a second between its last digests.
@@ -134,7 +142,7 @@
 	case Listed:
 		if _, known := s.peers[m.Daemon]; !known {
 			s.settle(m.Now)
-			s.peers[m.Daemon] = newPeer("", nil, time.Time{})
+			s.peers[m.Daemon] = newPeer("", nil, m.Since)
 		}
 	case Reset:
 		s.settle(m.Now)
@@ -184,6 +192,7 @@
 		p = newPeer(m.Incarnation, m.Used, m.Now)
 		p.daemons = float64(max(m.Daemons, 1))
 		s.peers[m.Daemon] = p
+		s.hide(p, m.Silent)
 		for name, used := range m.Recent {
 			if b, ok := s.accounts[name]; ok {
 				b.level -= used
@@ -205,6 +214,31 @@
 	}
 	p.used, p.heardAt, p.silent, p.daemons = m.Used, m.Now, false, float64(max(m.Daemons, 1))
 	clear(p.assumed)
+	s.hide(p, m.Silent)
+}
+
+// hide takes the even parts of the daemons that a peer no longer hears off the levels, and gives
+// back what was taken off for those that it hears again: what they have used is told now.
+func (s *State) hide(p *peer, silent int) {
+	hidden := min(float64(silent), p.daemons)
+	switch heard, _ := s.sharing(); {
+	case hidden > p.hidden:
+		for name, b := range s.accounts {
+			if part := b.level * (hidden - p.hidden) / heard; part > 0 {
+				b.level -= part
+				p.reserved[name] += part
+			}
+		}
+	case hidden < p.hidden:
+		part := (p.hidden - hidden) / p.hidden
+		for name, reserved := range p.reserved {
+			if b, ok := s.accounts[name]; ok {
+				b.level += reserved * part
+			}
+			p.reserved[name] -= reserved * part
+		}
+	}
+	p.hidden = hidden
 }
 
 // giveBack returns what a peer was taken to use that was known from the log alone, since what
@@ -223,7 +257,7 @@
 func newPeer(incarnation string, used map[string]float64, heardAt time.Time) *peer {
 	return &peer{
 		incarnation: incarnation, daemons: 1, used: used, heardAt: heardAt,
-		assumed: map[string]float64{}, rates: map[string]float64{},
+		assumed: map[string]float64{}, rates: map[string]float64{}, reserved: map[string]float64{},
 	}
 }
 
@@ -256,6 +290,11 @@
 			}
 			b.level -= rate * seconds
 			p.assumed[name] += rate * seconds
+			if !p.silent && p.hidden > 0 {
+				reserved := b.account.Rate * p.hidden / daemons * seconds
+				b.level -= reserved
+				p.reserved[name] += reserved
+			}
 		}
 		b.level = min(b.level, b.account.Burst*part)
 		b.at = now
@@ -274,7 +313,7 @@
 		heard, _ := s.sharing()
 		p.silent = true
 		for name, b := range s.accounts {
-			if part := b.level * p.daemons / heard; part > 0 {
+			if part := b.level * (p.daemons - p.hidden) / heard; part > 0 {
 				b.level -= part
 				p.assumed[name] += part
 			}
@@ -288,7 +327,7 @@
 	for _, p := range s.peers {
 		daemons += p.daemons
 		if !p.silent {
-			heard += p.daemons
+			heard += p.daemons - p.hidden
 		}
 	}
 	return heard, daemons
@@ -343,3 +382,15 @@
 func (Listed) message()     {}
 func (Reset) message()      {}
 func (Forgotten) message()  {}
+
+// Silent returns the number of peers that have fallen silent.
+func (s *State) Silent(now time.Time) int {
+	s.settle(now)
+	count := 0
+	for _, p := range s.peers {
+		if p.silent {
+			count++
+		}
+	}
+	return count
+}
--- a/decide/quota/quota_test.go
+++ b/decide/quota/quota_test.go
@@ -196,3 +196,107 @@
 		}
 	})
 }
+
+// TestCutBehindHubs guards against followers that take a whole allowance while a part of the
+// daemons is cut off from their hub: they hear the hub's totals only, and must learn from them
+// that daemons are silent. Each half's hub hears its own half; all take the same flood.
+func TestCutBehindHubs(t *testing.T) {
+	const (
+		rate, burst = 10000.0, 10000.0
+		halves      = 2
+		half        = 10
+		flood       = 5.0
+		stepMS      = 10
+		digestMS    = 200
+		cutMS       = 3000
+		healedMS    = 15000
+		windowMS    = 8000
+	)
+	start := time.Unix(1000, 0)
+	var states []*State
+	for range halves * half {
+		s := New(FullStart)
+		s.Update(Configured{Accounts: accounts(rate, burst), Now: start})
+		states = append(states, s)
+	}
+	sum := func(but, from, to int) float64 {
+		total := 0.0
+		for i, s := range states[from:to] {
+			if from+i != but {
+				total += s.Used()[account]
+			}
+		}
+		return total
+	}
+	// known is what each hub knows of the other half's use.
+	known := [halves]float64{}
+	var taken []float64
+	for ms := 0; ms < 24000; ms += stepMS {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		cut := ms >= cutMS && ms < healedMS
+		if ms%digestMS == 0 {
+			for h := range halves {
+				hub := h * half
+				for i := range states {
+					if i != hub && (!cut || i/half == h) {
+						states[hub].Update(Heard{Daemon: string(rune('a' + i)), Used: states[i].Used(), Now: now})
+					}
+				}
+				if other := (1 - h) * half; !cut {
+					known[h] = sum(-1, other, other+half)
+				}
+				for i := hub + 1; i < hub+half; i++ {
+					states[i].Update(Heard{
+						Daemon: "hub", Used: map[string]float64{account: sum(i, hub, hub+half) + known[h]},
+						Daemons: halves*half - 1, Silent: states[hub].Silent(now), Now: now,
+					})
+				}
+			}
+		}
+		total := 0.0
+		for _, s := range states {
+			if cost := rate * flood / (halves * half) * stepMS / 1000; s.Take(account, cost, now).Admitted {
+				total += cost
+			}
+		}
+		taken = append(taken, total)
+	}
+	allowed := (rate*windowMS/1000+burst)*1.1 + rate*110/250
+	inWindow, last := 0.0, 0.0
+	for i, n := range taken {
+		inWindow += n
+		if i >= windowMS/stepMS {
+			inWindow -= taken[i-windowMS/stepMS]
+		}
+		if inWindow > allowed {
+			t.Fatalf("%.0f taken in 8 s before %d ms, allowed %.0f", inWindow, i*stepMS, allowed)
+		}
+		if i >= (24000-5000)/stepMS {
+			last += n
+		}
+	}
+	// After the cut all of the rate must be used again.
+	if least := 0.9 * rate * 5; last < least {
+		t.Errorf("%.0f taken in the last 5 s, want %.0f or more", last, least)
+	}
+}
+
+// TestNewHubCountsTheSilent guards against a daemon that turns from a hub that is cut off to the
+// digests of the others, and takes the whole allowance while it does not hear most of them.
+func TestNewHubCountsTheSilent(t *testing.T) {
+	const rate, burst = 10000.0, 10000.0
+	start := time.Unix(1000, 0)
+	s := New(FullStart)
+	s.Update(Configured{Accounts: accounts(rate, burst), Now: start})
+	s.Update(Heard{Daemon: "hub", Daemons: 9, Now: start})
+	s.Update(Reset{Now: start})
+	for i := range 9 {
+		s.Update(Listed{Daemon: string(rune('a' + i)), Since: start, Now: start})
+	}
+	if v := s.Take(account, burst/2, start.Add(silentAfter/2)); !v.Admitted {
+		t.Errorf("refused at level %.0f before the others can have been heard", v.Level)
+	}
+	if v := s.Take(account, burst/5, start.Add(2*silentAfter)); v.Admitted {
+		t.Errorf("admitted at level %.0f though nine of ten daemons are silent", v.Level)
+	}
+}
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -75,6 +75,7 @@
 	d := x.daemon
 	x.service = x.route.Pick(d.random())
 	x.lastEvent = x.call.LastEvent
+	x.logArrival()
 	d.budget.arrived(x.service, x.arrived)
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -159,7 +159,7 @@
 	d.members.setHolds(d.duty.fence() > 0)
 	hub, own := d.members.follow(now)
 	if own {
-		d.tables.leaveHub(now)
+		d.tables.leaveHub(d.members.names(), now)
 	}
 	g.greet(now)
 	digest := d.tables.digest(d.clock.now())
@@ -196,7 +196,7 @@
 	if len(followers) == 0 {
 		return
 	}
-	t := totals{Daemons: d.members.count()}
+	t := totals{Daemons: d.members.count(), Silent: d.tables.silent(now)}
 	d.feed.fill(&t, now)
 	t.Roster = d.tables.rosterHash(now)
 	sums := d.tables.sums(now, d.age(now) < youngAge)
--- a/entryd/relay/members.go
+++ b/entryd/relay/members.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -236,6 +237,13 @@
 	return len(m.known) + 1
 }
 
+// names returns the other daemons.
+func (m *members) names() []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return slices.Collect(maps.Keys(m.known))
+}
+
 // controls returns the control addresses of the daemons with a configuration newer than the
 // given version.
 func (m *members) controls(newer int64) []string {
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -61,6 +61,8 @@
 	// totals are what a hub tells of all daemons.
 	totals struct {
 		Daemons int `cbor:"1,keyasint"`
+		// Silent is how many of them the hub does not hear.
+		Silent int `cbor:"8,keyasint,omitempty"`
 		// OperatorsAgeMS is the time since the hub's last read of the operators' stream; that of
 		// the endpoints is the message's ReadAgeMS.
 		OperatorsAgeMS int64 `cbor:"3,keyasint"`
--- a/entryd/relay/server.go
+++ b/entryd/relay/server.go
@@ -153,3 +153,15 @@
 		"AgeMilliseconds", x.daemon.clock.now().Sub(x.arrived).Milliseconds(),
 	}, fields...)...)
 }
+
+// logArrival writes what the decisions know of the request, from which lsbench record makes a load.
+func (x *exchange) logArrival() {
+	if !x.daemon.logger.V(1).Enabled() {
+		return
+	}
+	request := choiceRequest(x.config, x.service, x.call)
+	x.daemon.logger.WithName("request").V(1).Info("Admitted.", "Request", x.call.ID, "Route", x.route.Name,
+		"Service", x.service, "Model", request.Model, "Prompt", request.Prompt, "Shared", request.Shared,
+		"Answer", request.Answer, "Session", request.Session, "Target", x.route.Target.Milliseconds(),
+		"Left", x.deadline.Sub(x.arrived).Milliseconds(), "Rank", x.route.Priority)
+}
--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -90,12 +90,13 @@
 	t.hubLoads = peerLoads{heardAt: now, loads: m.Loads, outcomes: m.Outcomes}
 	t.quota.Update(quota.Heard{
 		Daemon: hubName, Incarnation: m.Daemon + m.Incarnation, Used: amounts(m.Used), Recent: amounts(m.Recent),
-		Daemons: max(m.Totals.Daemons-1, 1), Now: now,
+		Daemons: max(m.Totals.Daemons-1, 1), Silent: m.Totals.Silent, Now: now,
 	})
 }
 
-// leaveHub turns to the digests of all daemons, since this daemon is its own hub.
-func (t *tables) leaveHub(now time.Time) {
+// leaveHub turns to the digests of all daemons, since this daemon is its own hub. Those that it
+// can't hear share the allowances too.
+func (t *tables) leaveHub(others []string, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if !t.followsHub {
@@ -104,6 +105,16 @@
 	t.followsHub, t.hub = false, ""
 	t.hubLoads = peerLoads{}
 	t.quota.Update(quota.Reset{Now: now})
+	for _, name := range others {
+		t.quota.Update(quota.Listed{Daemon: name, Since: now, Now: now})
+	}
+}
+
+// silent returns the number of daemons that this one no longer hears.
+func (t *tables) silent(now time.Time) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.quota.Silent(now)
 }
 
 // expect counts a daemon that is known from the log among those that share allowances.
