--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -101,7 +101,7 @@
 		// off for them.
 		hidden   float64
 		reserved map[string]float64
-		used        map[string]float64
+		used     map[string]float64
 		// assumed is what was taken off for the peer since its last digest, and rates what it
 		// used a second between its last digests.
 		assumed map[string]float64
--- /dev/null
+++ b/lsbench/load.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"bufio"
+	"compress/gzip"
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+)
+
+type (
+	// load is what daemons saw of one day: the requests to one service of engines and the changes
+	// of its endpoints. All times are in milliseconds since the start of the recorded part.
+	load struct {
+		Engine   engineShape
+		Arrivals []arrival
+		Changes  []endpointChange
+	}
+
+	// engineShape is what the users state of an engine.
+	engineShape struct {
+		// Slots is the number of requests that run at once, Memory the tokens that fit.
+		Slots  int `json:"Slots"`
+		Memory int `json:"Memory"`
+		// StepMS is the time of a step that only generates, ReadPerMS the prompt tokens read in a
+		// millisecond.
+		StepMS    float64 `json:"StepMS"`
+		ReadPerMS float64 `json:"ReadPerMS"`
+	}
+
+	// arrival is one admitted request with what the decisions know of it.
+	arrival struct {
+		At      float64 `json:"At"`
+		Daemon  string  `json:"Daemon"`
+		Route   string  `json:"Route"`
+		Session string  `json:"Session,omitempty"`
+		Prompt  int     `json:"Prompt"`
+		Shared  int     `json:"Shared,omitempty"`
+		Answer  int     `json:"Answer"`
+		Target  int     `json:"Target"`
+		Left    int     `json:"Left"`
+		Rank    int     `json:"Rank,omitempty"`
+		// First is the time to the first event that the daemon measured, negative without one.
+		First int `json:"First"`
+	}
+
+	// endpointChange says that an endpoint came or went.
+	endpointChange struct {
+		At         float64 `json:"At"`
+		Endpoint   string  `json:"Endpoint"`
+		DataCentre string  `json:"DataCentre"`
+		Ready      bool    `json:"Ready"`
+	}
+
+	// loadLine is one line of a load file: the shape in the first one, then one of the others.
+	loadLine struct {
+		Engine  *engineShape    `json:"Engine,omitempty"`
+		Arrival *arrival        `json:"Arrival,omitempty"`
+		Change  *endpointChange `json:"Change,omitempty"`
+	}
+)
+
+var errLoad = eris.New("not a load file")
+
+// readLoad reads a compressed load file. It returns errLoad with the line's number for a line
+// that can't be used.
+func readLoad(path string) (load, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return load{}, eris.Wrap(err, "open load")
+	}
+	defer func() { _ = file.Close() }()
+	unpacked, err := gzip.NewReader(file)
+	if err != nil {
+		return load{}, eris.Wrapf(errLoad, "%s: %v", path, err)
+	}
+	var l load
+	lines := bufio.NewScanner(unpacked)
+	for number := 1; lines.Scan(); number++ {
+		var line loadLine
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			return load{}, eris.Wrapf(errLoad, "%s: line %d: %v", path, number, err)
+		}
+		switch {
+		case number == 1 && line.Engine != nil:
+			l.Engine = *line.Engine
+		case number > 1 && line.Arrival != nil:
+			l.Arrivals = append(l.Arrivals, *line.Arrival)
+		case number > 1 && line.Change != nil:
+			l.Changes = append(l.Changes, *line.Change)
+		default:
+			return load{}, eris.Wrapf(errLoad, "%s: line %d has neither an arrival nor a change", path, number)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return load{}, eris.Wrapf(errLoad, "%s: %v", path, err)
+	}
+	return l, l.check(path)
+}
+
+// check refuses a load from which no model can be made.
+func (l load) check(path string) error {
+	e := l.Engine
+	if e.Slots < 1 || e.Memory < 1 || e.StepMS <= 0 || e.ReadPerMS <= 0 {
+		return eris.Wrapf(errLoad, "%s: the engine's shape %+v has a value that is not positive", path, e)
+	}
+	if len(l.Arrivals) == 0 || len(l.Changes) == 0 {
+		return eris.Wrapf(errLoad, "%s: %d arrivals and %d changes of endpoints", path, len(l.Arrivals), len(l.Changes))
+	}
+	return nil
+}
+
+// writeLoad writes a compressed load file.
+func writeLoad(path string, l load) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return eris.Wrap(err, "create load")
+	}
+	packed := gzip.NewWriter(file)
+	err = errors.Join(l.encode(packed), packed.Close(), file.Close())
+	return eris.Wrapf(err, "write %s", path)
+}
+
+func (l load) encode(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	if err := encoder.Encode(loadLine{Engine: &l.Engine}); err != nil {
+		return err
+	}
+	for _, c := range l.Changes {
+		if err := encoder.Encode(loadLine{Change: &c}); err != nil {
+			return err
+		}
+	}
+	for _, a := range l.Arrivals {
+		if err := encoder.Encode(loadLine{Arrival: &a}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/lsbench/main.go
+++ b/lsbench/main.go
@@ -18,9 +18,11 @@
 
 var commands = []subcommands.Command{
 	&capacityCommand{},
+	&compareCommand{},
 	&fleetCommand{},
 	&limitsCommand{},
 	&movesCommand{},
+	&recordCommand{},
 	&retriesCommand{},
 	&routingCommand{},
 }
--- /dev/null
+++ b/lsbench/replay.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"lentilstage.dev/decide/admit"
+	"lentilstage.dev/decide/choice"
+)
+
+type (
+	// replayPolicy is a way to choose an endpoint and to refuse.
+	replayPolicy struct {
+		name  string
+		pick  func(r choice.Request, candidates []choice.Candidate, random func() float64) (choice.Picked, bool)
+		admit func(r admit.Request, picked choice.Picked, now time.Time) bool
+	}
+
+	// replayed is what became of an arrival in the model.
+	replayed struct {
+		refused bool
+		// first is the time to the first event in ms, negative without one; predicted is what the
+		// choice has predicted.
+		first, predicted float64
+		sends            int
+	}
+
+	// replayModel runs a load against modelled engines.
+	replayModel struct {
+		*timeline
+		policy  replayPolicy
+		random  *rand.Rand
+		engines map[string]*engine
+		order   []string
+		daemons map[string]*replayDaemon
+		total   map[string]choice.Load
+		results []replayed
+		load    load
+	}
+
+	// replayDaemon is a daemon's view: its own placements, and those of the others as of the
+	// last digests.
+	replayDaemon struct {
+		name   string
+		own    map[string]choice.Load
+		others map[string]choice.Load
+		cached map[cachedPart]time.Time
+	}
+
+	cachedPart struct{ endpoint, session string }
+)
+
+const (
+	// digestPause and digestDelay are the pause between digests and their way over a hub.
+	digestPause = 200 * time.Millisecond
+	digestDelay = 30 * time.Millisecond
+	// cacheLasts is how long a daemon takes a part that it has sent to be kept.
+	cacheLasts = 8 * time.Second
+	// maxSends bounds the sends of one request to engines that go.
+	maxSends = 2
+)
+
+var replayPolicies = []replayPolicy{
+	{name: "lentilstage", pick: choice.Pick, admit: func(r admit.Request, _ choice.Picked, now time.Time) bool {
+		return admit.Decide(r, now).Admitted
+	}},
+	{name: "no refusals", pick: choice.Pick, admit: always},
+	{name: "fewest requests", pick: pickFewest, admit: always},
+	{name: "fewest, refuse full", pick: pickFewest, admit: func(_ admit.Request, p choice.Picked, _ time.Time) bool { return p.Free }},
+	{name: "random", pick: pickRandom, admit: always},
+}
+
+func always(admit.Request, choice.Picked, time.Time) bool { return true }
+
+// pickFewest takes the endpoint with the fewest requests, at random among equal ones.
+func pickFewest(_ choice.Request, candidates []choice.Candidate, random func() float64) (choice.Picked, bool) {
+	fewest := math.MaxInt
+	var equal []choice.Candidate
+	for _, c := range candidates {
+		switch n := c.Load.Requests; {
+		case n < fewest:
+			fewest, equal = n, append(equal[:0], c)
+		case n == fewest:
+			equal = append(equal, c)
+		}
+	}
+	return pickRandom(choice.Request{}, equal, random)
+}
+
+func pickRandom(_ choice.Request, candidates []choice.Candidate, random func() float64) (choice.Picked, bool) {
+	if len(candidates) == 0 {
+		return choice.Picked{}, false
+	}
+	c := candidates[int(random()*float64(len(candidates)))]
+	return choice.Picked{Candidate: c, Free: c.Load.Requests < c.Slots}, true
+}
+
+// replay runs a load with a policy and returns what became of each arrival. The same seed gives
+// the same result.
+func replay(l load, policy replayPolicy, seed uint64) []replayed {
+	m := &replayModel{
+		timeline: newTimeline(), policy: policy, random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{},
+		daemons: map[string]*replayDaemon{}, total: map[string]choice.Load{}, results: make([]replayed, len(l.Arrivals)), load: l,
+	}
+	for _, c := range l.Changes {
+		m.after(inMS(c.At), func() { m.change(c) })
+	}
+	for i, a := range l.Arrivals {
+		if m.daemons[a.Daemon] == nil {
+			m.daemons[a.Daemon] = &replayDaemon{
+				name: a.Daemon, own: map[string]choice.Load{}, others: map[string]choice.Load{}, cached: map[cachedPart]time.Time{},
+			}
+		}
+		m.results[i].first = -1
+		m.after(inMS(a.At), func() { m.arrive(i) })
+	}
+	m.every(digestPause, m.digests)
+	last := l.Arrivals[len(l.Arrivals)-1]
+	m.runUntil(inMS(last.At+float64(last.Left)) + time.Second)
+	return m.results
+}
+
+func inMS(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// change adds an engine or takes one away. Requests that it has not begun to answer are sent
+// again, once.
+func (m *replayModel) change(c endpointChange) {
+	if c.Ready {
+		m.engines[c.Endpoint] = newEngine(m.timeline, m.load.Engine, c.Endpoint, c.DataCentre)
+		m.order = append(m.order, c.Endpoint)
+		return
+	}
+	e := m.engines[c.Endpoint]
+	if e == nil {
+		return
+	}
+	delete(m.engines, c.Endpoint)
+	m.order = slices.DeleteFunc(m.order, func(id string) bool { return id == c.Endpoint })
+	for _, j := range e.end() {
+		j.onDone()
+	}
+}
+
+// digests brings each daemon the loads of the others as they are now.
+func (m *replayModel) digests() {
+	total := make(map[string]choice.Load, len(m.total))
+	for id, l := range m.total {
+		total[id] = l
+	}
+	for _, d := range m.daemons {
+		others := make(map[string]choice.Load, len(total))
+		for id, l := range total {
+			others[id] = minus(l, d.own[id])
+		}
+		m.after(digestDelay, func() { d.others = others })
+	}
+}
+
+func (m *replayModel) arrive(i int) {
+	a, d := m.load.Arrivals[i], m.daemons[m.load.Arrivals[i].Daemon]
+	request := choice.Request{Session: a.Session, Prompt: a.Prompt, Shared: a.Shared, Answer: max(a.Answer, 1), Model: true}
+	picked, ok := m.policy.pick(request, m.candidates(d, a), m.random.Float64)
+	passed := float64(m.elapsed().Microseconds())/1000 - a.At
+	verdict := admit.Request{
+		Wait: inMS(picked.Wait), Own: inMS(float64(picked.Uncached) / choice.ReadPerMS),
+		Target: inMS(float64(a.Target)), Left: inMS(float64(a.Left) - passed), Rank: a.Rank,
+	}
+	if !ok || !m.policy.admit(verdict, picked, m.now) {
+		m.results[i].refused = true
+		return
+	}
+	m.results[i].sends++
+	m.results[i].predicted = picked.Wait
+	m.send(i, d, m.engines[picked.Candidate.ID], request, picked)
+}
+
+// send places a request, as a daemon counts it, and gives it to the engine.
+func (m *replayModel) send(i int, d *replayDaemon, e *engine, request choice.Request, picked choice.Picked) {
+	a := m.load.Arrivals[i]
+	if a.Session != "" {
+		d.cached[cachedPart{e.id, a.Session}] = m.now.Add(cacheLasts)
+	}
+	placed := choice.Load{Requests: 1, Reading: float64(picked.Uncached), Memory: float64(request.Prompt + request.Answer)}
+	m.count(d, e.id, placed)
+	read := func() {
+		m.count(d, e.id, choice.Load{Reading: -placed.Reading})
+		placed.Reading = 0
+	}
+	e.send(&job{
+		session: a.Session, prompt: a.Prompt, shared: a.Shared, answer: request.Answer, rank: a.Rank,
+		onFirst: func() {
+			read()
+			m.results[i].first = float64(m.elapsed().Microseconds())/1000 - a.At
+		},
+		onDone: func() {
+			m.count(d, e.id, choice.Load{Requests: -placed.Requests, Reading: -placed.Reading, Memory: -placed.Memory})
+			if m.results[i].first < 0 && m.results[i].sends < maxSends {
+				m.arrive(i)
+			}
+		},
+	})
+}
+
+func (m *replayModel) candidates(d *replayDaemon, a arrival) []choice.Candidate {
+	all := make([]choice.Candidate, 0, len(m.order))
+	for _, id := range m.order {
+		c := choice.Candidate{
+			ID: id, DataCentre: m.engines[id].dataCentre, Slots: m.load.Engine.Slots, Memory: m.load.Engine.Memory,
+			Load: plus(d.own[id], d.others[id]), Local: strings.Contains(d.name, m.engines[id].dataCentre),
+		}
+		if a.Session != "" && m.now.Before(d.cached[cachedPart{id, a.Session}]) {
+			c.Cached = a.Shared
+		}
+		all = append(all, c)
+	}
+	return all
+}
+
+func (m *replayModel) count(d *replayDaemon, endpoint string, l choice.Load) {
+	d.own[endpoint] = plus(d.own[endpoint], l)
+	m.total[endpoint] = plus(m.total[endpoint], l)
+}
+
+func plus(a, b choice.Load) choice.Load {
+	return choice.Load{Requests: a.Requests + b.Requests, Reading: a.Reading + b.Reading, Memory: a.Memory + b.Memory}
+}
+
+func minus(a, b choice.Load) choice.Load {
+	return plus(a, choice.Load{Requests: -b.Requests, Reading: -b.Reading, Memory: -b.Memory})
+}
