--- a/entryd/relay/members.go
+++ b/entryd/relay/members.go
@@ -61,8 +61,10 @@
 	greetDaemons  = 20
 	// greetLasts is the number of intervals for which a greeting counts.
 	greetLasts = 3
-	// memberInterval is the pause between reads of the daemons' records, startInterval that
-	// of a daemon that has just started.
+	// memberInterval is the pause between reads of the daemons' records of up to greetDaemons;
+	// with more daemons it grows with their number, so that the bytes read do not. Daemons learn
+	// of each other by greetings; the records only heal what these have missed. startInterval is
+	// that of a daemon that has just started.
 	memberInterval = 15 * time.Second
 	startInterval  = time.Second
 	startReads     = 3
@@ -244,6 +246,13 @@
 	return slices.Collect(maps.Keys(m.known))
 }
 
+// readInterval returns the pause between reads of the daemons' records.
+func (m *members) readInterval() time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return memberInterval * time.Duration(max(greetDaemons, len(m.known))) / greetDaemons
+}
+
 // controls returns the control addresses of the daemons with a configuration newer than the
 // given version.
 func (m *members) controls(newer int64) []string {
@@ -269,7 +278,7 @@
 				writtenAt = now
 			}
 		}
-		interval := memberInterval
+		interval := d.members.readInterval()
 		if reads < startReads {
 			interval = startInterval
 		}
--- a/entryd/relay/members_test.go
+++ b/entryd/relay/members_test.go
@@ -106,3 +106,18 @@
 		t.Errorf("%s stays the hub though it holds nothing", hub)
 	}
 }
+
+// TestReadsKeepToTheirBytes guards against reads of the daemons' records whose bytes grow with the
+// number of daemons: at 390 all of them together read 78 KB each time.
+func TestReadsKeepToTheirBytes(t *testing.T) {
+	const recordBytes, bound = 200, 300
+	for _, count := range []int{7, 83, 390} {
+		m := newMembers(Settings{Name: "self"}, "1")
+		for i := range count {
+			m.heard(member{Name: fmt.Sprint(i)}, time.Unix(1000, 0))
+		}
+		if got := float64(count*recordBytes) / m.readInterval().Seconds(); got > bound {
+			t.Errorf("%d daemons: %.0f B/s, want at most %d", count, got, bound)
+		}
+	}
+}
