relay: a new hub tells no history as present use

The hub had just started: as it heard the daemons one after the other, its sums rose by what they had used since their start, and its followers took that for use of this moment. Change: a hub sums what it has seen being used; of an older process that is what comes after its first digest. TestNewHubTellsNoHistory.

--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -55,6 +55,7 @@
 	if p.young = m.AgeMS < youngAge.Milliseconds(); p.young {
 		recent = amounts(m.Used)
 	}
+	p.counted = p.count(m, known && p.incarnation == m.Incarnation)
 	p.heardAt, p.incarnation, p.loads, p.used, p.work, p.outcomes = now, m.Incarnation, m.Loads, m.Used, m.Work, m.Outcomes
 	t.peers[m.Daemon] = p
 	counts := make(map[int64]usage.Counts, len(m.Counts))
@@ -69,12 +70,29 @@
 	}
 }
 
+// count returns the daemon's use as far as this one has seen it being used. What an older process
+// has used before it was first heard is none of it: followers would take it for use of this moment
+// when their hub has just started, and refuse the account for seconds.
+func (p peerLoads) count(m message, same bool) map[string]int64 {
+	counted := map[string]int64{}
+	switch {
+	case same:
+		maps.Copy(counted, p.counted)
+		for account, used := range m.Used {
+			counted[account] += used - p.used[account]
+		}
+	case p.young:
+		maps.Copy(counted, m.Used)
+	}
+	return counted
+}
+
 // keepUsed adds what an ended process had used and placed to the sums, which must not fall.
 func (t *tables) keepUsed(p peerLoads) {
 	for service, work := range p.work {
 		t.pastWork[service] += float64(work)
 	}
-	for account, used := range p.used {
+	for account, used := range p.counted {
 		t.pastUsed[account] += used
 	}
 }
@@ -186,9 +204,11 @@
 				s.outcomes[service] = sum.plus(o)
 			}
 		}
-		for account, used := range p.used {
+		for account, used := range p.counted {
 			s.used[account] += used
-			if p.young {
+		}
+		if p.young {
+			for account, used := range p.used {
 				s.recent[account] += used
 			}
 		}
@@ -201,9 +221,11 @@
 func (s sums) without(daemon string) message {
 	p := s.peers[daemon]
 	m := message{Loads: maps.Clone(s.loads), Used: maps.Clone(s.used), Recent: maps.Clone(s.recent), Outcomes: maps.Clone(s.outcomes)}
-	for account, used := range p.used {
+	for account, used := range p.counted {
 		m.Used[account] -= used
-		if p.young {
+	}
+	if p.young {
+		for account, used := range p.used {
 			m.Recent[account] -= used
 		}
 	}
--- a/entryd/relay/sums_test.go
+++ b/entryd/relay/sums_test.go
@@ -33,6 +33,35 @@
 	}
 }
 
+// TestNewHubTellsNoHistory guards against a hub that has just started and tells what the others have
+// used since their start as if they used it now: their accounts would be refused for seconds.
+func TestNewHubTellsNoHistory(t *testing.T) {
+	now := time.Unix(1000, 0)
+	hub := newTables(Settings{Name: "entry-1"}, "first")
+	// A daemon that has used nothing tells none.
+	hub.heard(message{Daemon: "entry-3", Incarnation: "1"}, now)
+	used := func(daemon string, incarnation string, amount, ageMS int64) int64 {
+		now = now.Add(200 * time.Millisecond)
+		hub.heard(message{Daemon: daemon, Incarnation: incarnation, Used: map[string]int64{"counter": amount}, AgeMS: ageMS}, now)
+		return hub.sums(now, false).without("entry-9").Used["counter"]
+	}
+	for i, step := range []struct {
+		daemon, incarnation string
+		amount, ageMS, want int64
+	}{
+		{"entry-2", "1", 1_000_000, 60_000, 0},
+		{"entry-2", "1", 1_000_030, 60_200, 30},
+		{"entry-3", "1", 50, 1_200, 80},
+		{"entry-3", "1", 70, 1_400, 100},
+		// A process that has started again begins its count anew, and the sum must not fall.
+		{"entry-2", "2", 5, 300, 105},
+	} {
+		if got := used(step.daemon, step.incarnation, step.amount, step.ageMS); got != step.want {
+			t.Errorf("step %d: the hub tells %d, want %d", i, got, step.want)
+		}
+	}
+}
+
 // TestRolloutIsShared guards against a daemon that starts late and begins an order's time anew, sends
 // requests to a version that another one has stopped, or tells another verdict after a final one.
 func TestRolloutIsShared(t *testing.T) {
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -64,8 +64,10 @@
 		young       bool
 		loads       map[uint32]load
 		used        map[string]int64
-		work        map[string]int64
-		outcomes    map[string]outcomes
+		// counted is the part of used that this daemon has seen being used.
+		counted  map[string]int64
+		work     map[string]int64
+		outcomes map[string]outcomes
 		// followUntil is when the daemon no longer follows this one.
 		followUntil time.Time
 	}
