suspect, relay: requests that crash endpoints are kept out

Change: attempts that break off are counted by caller, path and body, told in digests and summed by hubs; an answer clears the own count; after three the request is refused as not run for 10 min at all daemons, and is not sent again within an exchange.

--- /dev/null
+++ b/decide/suspect/suspect.go
@@ -0,0 +1,108 @@
+// Package suspect finds requests that crash the endpoints that run them, and keeps them from more.
+//
+// Such a request comes again with the same caller, path and body, at any daemon. All that a daemon
+// sees is that its attempts break off without an answer, as those of many innocent requests do when
+// an endpoint crashes or a connection is reset. So breaks are counted by request over all daemons,
+// an answer clears the own count, and a request with MaxBreaks of them is quarantined.
+//
+// # Usage
+//
+//	state := suspect.New()
+//	state.Broke(key, now) or state.Answered(key)
+//	if state.Blocked(key, told, now) { ... refuse }
+//	breaks, quarantined := state.Tell(now)
+//
+// The methods change the state in place; one owner calls them.
+package suspect
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+type (
+	// Key stands for a caller's request with its path and body.
+	Key uint64
+
+	// State is what a daemon has seen itself, and what is quarantined.
+	State struct {
+		breaks      map[Key]broken
+		quarantined map[Key]time.Time
+	}
+
+	// broken counts the breaks of a request since its last answer.
+	broken struct {
+		count int
+		at    time.Time
+	}
+)
+
+const (
+	// MaxBreaks quarantine a request; users ask that it be stopped after three crashes.
+	MaxBreaks = 3
+	// keepBreaks is how long a break counts, quarantineTime how long a request is kept out.
+	keepBreaks     = 30 * time.Second
+	quarantineTime = 10 * time.Minute
+	// maxTold bounds the requests that are told at once, maxKept those that are kept. A reset of
+	// many connections breaks some hundred innocent requests.
+	maxTold = 32
+	maxKept = 1024
+)
+
+// New returns a state that knows of no request.
+func New() *State { return &State{breaks: map[Key]broken{}, quarantined: map[Key]time.Time{}} }
+
+// Broke notes that an attempt of the request broke off without an answer.
+func (s *State) Broke(key Key, now time.Time) {
+	s.expire(now)
+	if _, known := s.breaks[key]; !known && len(s.breaks) >= maxKept {
+		delete(s.breaks, s.newest()[len(s.breaks)-1])
+	}
+	b := s.breaks[key]
+	s.breaks[key] = broken{count: b.count + 1, at: now}
+}
+
+// Answered notes that an endpoint has answered the request.
+func (s *State) Answered(key Key) { delete(s.breaks, key) }
+
+// Blocked reports whether the request is quarantined, with the breaks that other daemons have told.
+func (s *State) Blocked(key Key, told int, now time.Time) bool {
+	s.expire(now)
+	if b := s.breaks[key]; b.count+told >= MaxBreaks {
+		s.Quarantine(key, now)
+	}
+	_, blocked := s.quarantined[key]
+	return blocked
+}
+
+// Quarantine keeps a request out that another daemon has quarantined.
+func (s *State) Quarantine(key Key, now time.Time) {
+	if _, known := s.quarantined[key]; !known && len(s.quarantined) < maxKept {
+		s.quarantined[key] = now.Add(quarantineTime)
+	}
+}
+
+// Tell returns the breaks of the newest suspects and the quarantined requests for other daemons.
+func (s *State) Tell(now time.Time) (map[Key]int, []Key) {
+	s.expire(now)
+	told := map[Key]int{}
+	for _, key := range s.newest()[:min(maxTold, len(s.breaks))] {
+		told[key] = s.breaks[key].count
+	}
+	quarantined := slices.Sorted(maps.Keys(s.quarantined))
+	return told, quarantined[:min(maxTold, len(quarantined))]
+}
+
+// newest returns the suspects, the last that broke first.
+func (s *State) newest() []Key {
+	return slices.SortedFunc(maps.Keys(s.breaks), func(a, b Key) int {
+		return cmp.Or(s.breaks[b].at.Compare(s.breaks[a].at), cmp.Compare(a, b))
+	})
+}
+
+func (s *State) expire(now time.Time) {
+	maps.DeleteFunc(s.breaks, func(_ Key, b broken) bool { return now.Sub(b.at) > keepBreaks })
+	maps.DeleteFunc(s.quarantined, func(_ Key, until time.Time) bool { return now.After(until) })
+}
--- /dev/null
+++ b/decide/suspect/suspect_test.go
@@ -0,0 +1,65 @@
+package suspect
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestCrashingRequestIsBlocked guards against a request that goes on crashing endpoints after three
+// daemons have seen one crash each, and that comes again later.
+func TestCrashingRequestIsBlocked(t *testing.T) {
+	s := New()
+	s.Broke(7, start)
+	if s.Blocked(7, 1, start) {
+		t.Error("blocked after two breaks")
+	}
+	if !s.Blocked(7, 2, start) {
+		t.Error("not blocked after three breaks")
+	}
+	if !s.Blocked(7, 0, start.Add(5*time.Minute)) {
+		t.Error("not blocked when it comes again minutes later")
+	}
+	if s.Blocked(7, 0, start.Add(time.Hour)) {
+		t.Error("blocked an hour later")
+	}
+}
+
+// TestInnocentRequestIsNotBlocked guards against a request that is refused because its attempts broke
+// off by chance: it was answered in between, or long ago.
+func TestInnocentRequestIsNotBlocked(t *testing.T) {
+	s := New()
+	for range 5 {
+		s.Broke(7, start)
+		s.Broke(7, start)
+		s.Answered(7)
+	}
+	if s.Blocked(7, 0, start) {
+		t.Error("blocked though each second break was followed by an answer")
+	}
+	s.Broke(8, start)
+	s.Broke(8, start)
+	s.Broke(8, start.Add(time.Minute))
+	if s.Blocked(8, 0, start.Add(time.Minute)) {
+		t.Error("blocked for breaks of which two are a minute old")
+	}
+}
+
+// TestSuspectsAreBounded guards against memory and digests that grow with the connections that are
+// reset.
+func TestSuspectsAreBounded(t *testing.T) {
+	s := New()
+	for i := range 3 * maxKept {
+		s.Broke(Key(i), start.Add(time.Duration(i)*time.Millisecond))
+		s.Quarantine(Key(i), start)
+	}
+	now := start.Add(3 * maxKept * time.Millisecond)
+	breaks, quarantined := s.Tell(now)
+	if len(s.breaks) > maxKept || len(s.quarantined) > maxKept || len(breaks) != maxTold || len(quarantined) != maxTold {
+		t.Errorf("%d suspects, %d quarantined, %d and %d told", len(s.breaks), len(s.quarantined), len(breaks), len(quarantined))
+	}
+	if breaks[3*maxKept-1] != 1 {
+		t.Error("the newest break is not told")
+	}
+}
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -153,6 +153,7 @@
 	if result != notRun {
 		x.mayHaveRun = true
 	}
+	x.daemon.tables.attempted(x.suspect, result, x.daemon.clock.now())
 	if kind, tells := judgements[result]; tells {
 		x.judge(a.endpoint, kind, a.picked, a.sentAt)
 	}
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -9,6 +9,7 @@
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/decide/retry"
+	"lentilstage.dev/decide/suspect"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -38,6 +39,8 @@
 		counted bool
 		// lastEvent is the last event that the caller has got.
 		lastEvent string
+		// suspect is what the request is known by if it crashes endpoints.
+		suspect suspect.Key
 		// failure is an endpoint's own failure, for the case that no other attempt succeeds.
 		failure *answer
 	}
@@ -180,6 +183,9 @@
 func (x *exchange) again(result outcome, sends int) bool {
 	d := x.daemon
 	now := d.clock.now()
+	if d.tables.kept(x.suspect, now) {
+		return false
+	}
 	command := d.budget.again(retry.Attempt{
 		Request: x.call.ID, Account: x.service, Number: sends, Repeatable: x.mayRepeat(),
 		Sent: result != notRun, LatestStart: x.deadline,
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lentilstage.dev/decide/shift"
+	"lentilstage.dev/decide/suspect"
 )
 
 type (
@@ -26,6 +27,9 @@
 		Used  map[string]int64 `cbor:"9,keyasint,omitempty"`
 		// ReadAgeMS is the time since the sender's own last read of the endpoints.
 		ReadAgeMS int64 `cbor:"22,keyasint"`
+		// Breaks counts the attempts of suspect requests that broke off; Quarantined are kept out.
+		Breaks      map[suspect.Key]int `cbor:"24,keyasint,omitempty"`
+		Quarantined []suspect.Key       `cbor:"25,keyasint,omitempty"`
 		// Outcomes are those of the services in a roll-out.
 		Outcomes map[string]outcomes `cbor:"21,keyasint,omitempty"`
 		// Recent is the part of Used by processes that have just started, AgeMS the time since the
--- a/entryd/relay/server.go
+++ b/entryd/relay/server.go
@@ -81,6 +81,10 @@
 	if !x.readBody() {
 		return false
 	}
+	x.suspect = suspectKey(x.call)
+	if x.keepOut() {
+		return false
+	}
 	now := d.clock.now()
 	cost := x.account.Cost(x.call.PromptTokens + x.call.AnswerTokens)
 	if d.closing.Load() {
--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilstage.dev/decide/quota"
+	"lentilstage.dev/decide/suspect"
 	"lentilstage.dev/decide/usage"
 )
 
@@ -27,6 +28,7 @@
 	for service, r := range t.rollouts {
 		m.Outcomes[service] = r.outcomes(now)
 	}
+	m.Breaks, m.Quarantined = t.suspects.Tell(now)
 	newest := int64(0)
 	own := t.usage.Own()
 	for window := range own {
@@ -56,7 +58,9 @@
 		recent = amounts(m.Used)
 	}
 	p.counted = p.count(m, known && p.incarnation == m.Incarnation)
-	p.heardAt, p.incarnation, p.loads, p.used, p.work, p.outcomes = now, m.Incarnation, m.Loads, m.Used, m.Work, m.Outcomes
+	p.heardAt, p.incarnation, p.loads, p.used, p.work = now, m.Incarnation, m.Loads, m.Used, m.Work
+	p.outcomes, p.breaks = m.Outcomes, m.Breaks
+	t.quarantine(m.Quarantined, now)
 	t.peers[m.Daemon] = p
 	counts := make(map[int64]usage.Counts, len(m.Counts))
 	for window, c := range m.Counts {
@@ -105,7 +109,8 @@
 		t.followsHub, t.hub = true, m.Daemon
 		t.quota.Update(quota.Reset{Now: now})
 	}
-	t.hubLoads = peerLoads{heardAt: now, loads: m.Loads, outcomes: m.Outcomes}
+	t.hubLoads = peerLoads{heardAt: now, loads: m.Loads, outcomes: m.Outcomes, breaks: m.Breaks}
+	t.quarantine(m.Quarantined, now)
 	t.quota.Update(quota.Heard{
 		Daemon: hubName, Incarnation: m.Daemon + m.Incarnation, Used: amounts(m.Used), Recent: amounts(m.Recent),
 		Daemons: max(m.Totals.Daemons-1, 1), Silent: m.Totals.Silent, Now: now,
@@ -179,7 +184,10 @@
 	used     map[string]int64
 	recent   map[string]int64
 	outcomes map[string]outcomes
-	peers    map[string]peerLoads
+	breaks   map[suspect.Key]int
+	// quarantined are the requests that any daemon keeps out.
+	quarantined []suspect.Key
+	peers       map[string]peerLoads
 }
 
 // sums returns the loads and uses of all daemons, this one included, which may be young.
@@ -188,7 +196,8 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	s := sums{
-		loads: own.Loads, used: own.Used, recent: map[string]int64{}, outcomes: own.Outcomes, peers: map[string]peerLoads{},
+		loads: own.Loads, used: own.Used, recent: map[string]int64{}, outcomes: own.Outcomes,
+		breaks: own.Breaks, quarantined: own.Quarantined, peers: map[string]peerLoads{},
 	}
 	if young {
 		s.recent = maps.Clone(own.Used)
@@ -204,6 +213,9 @@
 				s.outcomes[service] = sum.plus(o)
 			}
 		}
+		for key, count := range p.breaks {
+			s.breaks[key] += count
+		}
 		for account, used := range p.counted {
 			s.used[account] += used
 		}
@@ -221,6 +233,12 @@
 func (s sums) without(daemon string) message {
 	p := s.peers[daemon]
 	m := message{Loads: maps.Clone(s.loads), Used: maps.Clone(s.used), Recent: maps.Clone(s.recent), Outcomes: maps.Clone(s.outcomes)}
+	m.Breaks, m.Quarantined = maps.Clone(s.breaks), s.quarantined
+	for key, count := range p.breaks {
+		if m.Breaks[key] -= count; m.Breaks[key] <= 0 {
+			delete(m.Breaks, key)
+		}
+	}
 	for account, used := range p.counted {
 		m.Used[account] -= used
 	}
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -12,6 +12,7 @@
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/decide/quota"
 	"lentilstage.dev/decide/roster"
+	"lentilstage.dev/decide/suspect"
 	"lentilstage.dev/decide/usage"
 	"lentilstage.dev/domain/setup"
 )
@@ -53,6 +54,7 @@
 		cached    map[cacheKey]time.Time
 		cacheTime time.Duration
 		rollouts  map[string]*rollout
+		suspects  *suspect.State
 		// misdirected holds endpoints whose address answered for another endpoint.
 		misdirected map[string]int64
 	}
@@ -68,6 +70,7 @@
 		counted  map[string]int64
 		work     map[string]int64
 		outcomes map[string]outcomes
+		breaks   map[suspect.Key]int
 		// followUntil is when the daemon no longer follows this one.
 		followUntil time.Time
 	}
@@ -119,7 +122,7 @@
 		own:   map[string]choice.Load{}, peers: map[string]peerLoads{},
 		pastUsed: map[string]int64{}, work: map[string]float64{}, pastWork: map[string]float64{},
 		cached: map[cacheKey]time.Time{}, cacheTime: s.Bounds.CacheReuse,
-		misdirected: map[string]int64{}, rollouts: map[string]*rollout{},
+		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, suspects: suspect.New(),
 	}
 }
 
