suspect: a first quarantine is short and on trial

Cause: found in reading the change: while all endpoints of a service are down, a client that asks the same again collects three breaks, and would have been kept out for 10 min though innocent. The bound of suspects was kept by a sort of all of them at each break, 1.4 ms at 1024. Change: the first quarantine lasts 20 s; an answer after it ends the suspicion, a break keeps the request out for 10 min. The oldest suspect is found without a sort, and what has ended is dropped twice a second.

--- a/decide/suspect/suspect.go
+++ b/decide/suspect/suspect.go
@@ -3,7 +3,9 @@
 // Such a request comes again with the same caller, path and body, at any daemon. All that a daemon
 // sees is that its attempts break off without an answer, as those of many innocent requests do when
 // an endpoint crashes or a connection is reset. So breaks are counted by request over all daemons,
-// an answer clears the own count, and a request with MaxBreaks of them is quarantined.
+// an answer clears the own count, and a request with MaxBreaks of them is quarantined. An innocent
+// one may get as many breaks while all endpoints are down, so that the first quarantine is short
+// and on trial after it: an answer ends the suspicion, a break quarantines for long.
 //
 // # Usage
 //
@@ -30,6 +32,9 @@
 	State struct {
 		breaks      map[Key]broken
 		quarantined map[Key]time.Time
+		// trials are the requests that were quarantined once, until their suspicion ends.
+		trials    map[Key]time.Time
+		expiredAt time.Time
 	}
 
 	// broken counts the breaks of a request since its last answer.
@@ -42,9 +47,12 @@
 const (
 	// MaxBreaks quarantine a request; users ask that it be stopped after three crashes.
 	MaxBreaks = 3
-	// keepBreaks is how long a break counts, quarantineTime how long a request is kept out.
-	keepBreaks     = 30 * time.Second
+	// keepBreaks is how long a break counts.
+	keepBreaks = 30 * time.Second
+	// firstTime is how long a request is kept out at first, quarantineTime after a break on trial.
+	firstTime      = 20 * time.Second
 	quarantineTime = 10 * time.Minute
+	expireInterval = 500 * time.Millisecond
 	// maxTold bounds the requests that are told at once, maxKept those that are kept. A reset of
 	// many connections breaks some hundred innocent requests.
 	maxTold = 32
@@ -52,25 +60,34 @@
 )
 
 // New returns a state that knows of no request.
-func New() *State { return &State{breaks: map[Key]broken{}, quarantined: map[Key]time.Time{}} }
+func New() *State {
+	return &State{breaks: map[Key]broken{}, quarantined: map[Key]time.Time{}, trials: map[Key]time.Time{}}
+}
 
 // Broke notes that an attempt of the request broke off without an answer.
 func (s *State) Broke(key Key, now time.Time) {
 	s.expire(now)
+	if _, onTrial := s.trials[key]; onTrial {
+		s.Quarantine(key, now)
+	}
 	if _, known := s.breaks[key]; !known && len(s.breaks) >= maxKept {
-		delete(s.breaks, s.newest()[len(s.breaks)-1])
+		s.dropOldest()
 	}
 	b := s.breaks[key]
 	s.breaks[key] = broken{count: b.count + 1, at: now}
 }
 
 // Answered notes that an endpoint has answered the request.
-func (s *State) Answered(key Key) { delete(s.breaks, key) }
+func (s *State) Answered(key Key) {
+	delete(s.breaks, key)
+	delete(s.trials, key)
+}
 
 // Blocked reports whether the request is quarantined, with the breaks that other daemons have told.
 func (s *State) Blocked(key Key, told int, now time.Time) bool {
 	s.expire(now)
-	if b := s.breaks[key]; b.count+told >= MaxBreaks {
+	_, onTrial := s.trials[key]
+	if b := s.breaks[key]; b.count+told >= MaxBreaks && !onTrial {
 		s.Quarantine(key, now)
 	}
 	_, blocked := s.quarantined[key]
@@ -79,9 +96,15 @@
 
 // Quarantine keeps a request out that another daemon has quarantined.
 func (s *State) Quarantine(key Key, now time.Time) {
-	if _, known := s.quarantined[key]; !known && len(s.quarantined) < maxKept {
-		s.quarantined[key] = now.Add(quarantineTime)
+	if _, known := s.quarantined[key]; known || len(s.quarantined) >= maxKept {
+		return
+	}
+	length := firstTime
+	if _, onTrial := s.trials[key]; onTrial {
+		length = quarantineTime
 	}
+	s.quarantined[key] = now.Add(length)
+	s.trials[key] = now.Add(length + quarantineTime)
 }
 
 // Tell returns the breaks of the newest suspects and the quarantined requests for other daemons.
@@ -95,6 +118,18 @@
 	return told, quarantined[:min(maxTold, len(quarantined))]
 }
 
+// dropOldest drops the suspect whose last break is the oldest.
+func (s *State) dropOldest() {
+	var oldest Key
+	first := true
+	for key, b := range s.breaks {
+		if first || b.at.Before(s.breaks[oldest].at) {
+			oldest, first = key, false
+		}
+	}
+	delete(s.breaks, oldest)
+}
+
 // newest returns the suspects, the last that broke first.
 func (s *State) newest() []Key {
 	return slices.SortedFunc(maps.Keys(s.breaks), func(a, b Key) int {
@@ -102,7 +137,13 @@
 	})
 }
 
+// expire drops what has ended, at most every expireInterval: it is asked for each request.
 func (s *State) expire(now time.Time) {
+	if age := now.Sub(s.expiredAt); age >= 0 && age < expireInterval {
+		return
+	}
+	s.expiredAt = now
 	maps.DeleteFunc(s.breaks, func(_ Key, b broken) bool { return now.Sub(b.at) > keepBreaks })
+	maps.DeleteFunc(s.trials, func(_ Key, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(s.quarantined, func(_ Key, until time.Time) bool { return now.After(until) })
 }
--- a/entryd/relay/quarantine.go
+++ b/entryd/relay/quarantine.go
@@ -10,7 +10,7 @@
 )
 
 // quarantineRetry is when a caller may come back with a request that is kept out.
-const quarantineRetry = time.Minute
+const quarantineRetry = 20 * time.Second
 
 // suspectKey returns what a request that crashes endpoints is known by when it comes again: its
 // caller, path and body.
