suspect: a quarantine that others still tell is no new one

Cause: found in reading the change again. Each daemon's first quarantine ends at another moment; one whose own had ended took what the others still told for a break on trial, and kept the request out for 10 min instead of 20 s. Change: quarantines are counted and told with their number in a row; one that is known is not taken again. Quarantine and trial are one record instead of two maps.

--- a/decide/suspect/suspect.go
+++ b/decide/suspect/suspect.go
@@ -28,12 +28,10 @@
 	// Key stands for a caller's request with its path and body.
 	Key uint64
 
-	// State is what a daemon has seen itself, and what is quarantined.
+	// State is what a daemon has seen itself, and which requests are quarantined.
 	State struct {
-		breaks      map[Key]broken
-		quarantined map[Key]time.Time
-		// trials are the requests that were quarantined once, until their suspicion ends.
-		trials    map[Key]time.Time
+		breaks    map[Key]broken
+		convicted map[Key]conviction
 		expiredAt time.Time
 	}
 
@@ -42,6 +40,15 @@
 		count int
 		at    time.Time
 	}
+
+	// conviction is a request's quarantine, and the trial after it.
+	conviction struct {
+		// strikes counts the quarantines. Each daemon's ends at another moment: one that has ended
+		// its own must not take what others still tell for a new one.
+		strikes    int
+		until      time.Time
+		trialUntil time.Time
+	}
 )
 
 const (
@@ -60,15 +67,13 @@
 )
 
 // New returns a state that knows of no request.
-func New() *State {
-	return &State{breaks: map[Key]broken{}, quarantined: map[Key]time.Time{}, trials: map[Key]time.Time{}}
-}
+func New() *State { return &State{breaks: map[Key]broken{}, convicted: map[Key]conviction{}} }
 
 // Broke notes that an attempt of the request broke off without an answer.
 func (s *State) Broke(key Key, now time.Time) {
 	s.expire(now)
-	if _, onTrial := s.trials[key]; onTrial {
-		s.Quarantine(key, now)
+	if c, known := s.convicted[key]; known && now.After(c.until) {
+		s.Quarantine(key, c.strikes+1, now)
 	}
 	if _, known := s.breaks[key]; !known && len(s.breaks) >= maxKept {
 		s.dropOldest()
@@ -80,42 +85,46 @@
 // Answered notes that an endpoint has answered the request.
 func (s *State) Answered(key Key) {
 	delete(s.breaks, key)
-	delete(s.trials, key)
+	delete(s.convicted, key)
 }
 
 // Blocked reports whether the request is quarantined, with the breaks that other daemons have told.
 func (s *State) Blocked(key Key, told int, now time.Time) bool {
 	s.expire(now)
-	_, onTrial := s.trials[key]
-	if b := s.breaks[key]; b.count+told >= MaxBreaks && !onTrial {
-		s.Quarantine(key, now)
+	if _, known := s.convicted[key]; !known && s.breaks[key].count+told >= MaxBreaks {
+		s.Quarantine(key, 1, now)
 	}
-	_, blocked := s.quarantined[key]
-	return blocked
+	return !now.After(s.convicted[key].until)
 }
 
-// Quarantine keeps a request out that another daemon has quarantined.
-func (s *State) Quarantine(key Key, now time.Time) {
-	if _, known := s.quarantined[key]; known || len(s.quarantined) >= maxKept {
+// Quarantine keeps a request out for the given time in a row, unless that is known.
+func (s *State) Quarantine(key Key, strikes int, now time.Time) {
+	known := s.convicted[key]
+	if strikes <= known.strikes || known.strikes == 0 && len(s.convicted) >= maxKept {
 		return
 	}
 	length := firstTime
-	if _, onTrial := s.trials[key]; onTrial {
+	if strikes > 1 {
 		length = quarantineTime
 	}
-	s.quarantined[key] = now.Add(length)
-	s.trials[key] = now.Add(length + quarantineTime)
+	until := now.Add(length)
+	s.convicted[key] = conviction{strikes: strikes, until: until, trialUntil: until.Add(quarantineTime)}
 }
 
-// Tell returns the breaks of the newest suspects and the quarantined requests for other daemons.
-func (s *State) Tell(now time.Time) (map[Key]int, []Key) {
+// Tell returns the breaks of the newest suspects and the quarantined requests with their strikes,
+// for other daemons.
+func (s *State) Tell(now time.Time) (breaks, quarantined map[Key]int) {
 	s.expire(now)
-	told := map[Key]int{}
+	breaks, quarantined = map[Key]int{}, map[Key]int{}
 	for _, key := range s.newest()[:min(maxTold, len(s.breaks))] {
-		told[key] = s.breaks[key].count
+		breaks[key] = s.breaks[key].count
+	}
+	for key, c := range s.convicted {
+		if len(quarantined) < maxTold && !now.After(c.until) {
+			quarantined[key] = c.strikes
+		}
 	}
-	quarantined := slices.Sorted(maps.Keys(s.quarantined))
-	return told, quarantined[:min(maxTold, len(quarantined))]
+	return breaks, quarantined
 }
 
 // dropOldest drops the suspect whose last break is the oldest.
@@ -144,6 +153,5 @@
 	}
 	s.expiredAt = now
 	maps.DeleteFunc(s.breaks, func(_ Key, b broken) bool { return now.Sub(b.at) > keepBreaks })
-	maps.DeleteFunc(s.trials, func(_ Key, until time.Time) bool { return now.After(until) })
-	maps.DeleteFunc(s.quarantined, func(_ Key, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(s.convicted, func(_ Key, c conviction) bool { return now.After(c.trialUntil) })
 }
--- a/decide/suspect/suspect_test.go
+++ b/decide/suspect/suspect_test.go
@@ -72,18 +72,50 @@
 	}
 }
 
+// TestEchoIsNoStrike guards against a quarantine that daemons tell each other for as long as one of
+// them keeps it: the first to end its own would take what the others still tell for a break on trial.
+func TestEchoIsNoStrike(t *testing.T) {
+	first, second := New(), New()
+	for range MaxBreaks {
+		first.Broke(7, start)
+	}
+	first.Blocked(7, 0, start)
+	tell := func(from, to *State, now time.Time) {
+		_, quarantined := from.Tell(now)
+		for key, strikes := range quarantined {
+			to.Quarantine(key, strikes, now)
+		}
+	}
+	tell(first, second, start.Add(400*time.Millisecond))
+	ended := start.Add(firstTime + 200*time.Millisecond)
+	if first.Blocked(7, 0, ended) || !second.Blocked(7, 0, ended) {
+		t.Fatal("the second quarantine does not end after the first")
+	}
+	tell(second, first, ended)
+	if first.Blocked(7, 0, ended) {
+		t.Error("kept out again without another break")
+	}
+	// A break on trial is told as one.
+	trial := start.Add(firstTime + time.Second)
+	second.Broke(7, trial)
+	tell(second, first, trial)
+	if !first.Blocked(7, 0, trial.Add(quarantineTime/2)) {
+		t.Error("not kept out for long after a break on trial at another daemon")
+	}
+}
+
 // TestSuspectsAreBounded guards against memory and digests that grow with the connections that are
 // reset.
 func TestSuspectsAreBounded(t *testing.T) {
 	s := New()
 	for i := range 3 * maxKept {
 		s.Broke(Key(i), start.Add(time.Duration(i)*time.Millisecond))
-		s.Quarantine(Key(i), start)
+		s.Quarantine(Key(i), 1, start.Add(time.Duration(i)*time.Millisecond))
 	}
 	now := start.Add(3 * maxKept * time.Millisecond)
 	breaks, quarantined := s.Tell(now)
-	if len(s.breaks) > maxKept || len(s.quarantined) > maxKept || len(breaks) != maxTold || len(quarantined) != maxTold {
-		t.Errorf("%d suspects, %d quarantined, %d and %d told", len(s.breaks), len(s.quarantined), len(breaks), len(quarantined))
+	if len(s.breaks) > maxKept || len(s.convicted) > maxKept || len(breaks) != maxTold || len(quarantined) != maxTold {
+		t.Errorf("%d suspects, %d quarantined, %d and %d told", len(s.breaks), len(s.convicted), len(breaks), len(quarantined))
 	}
 	if breaks[3*maxKept-1] != 1 {
 		t.Error("the newest break is not told")
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -27,9 +27,10 @@
 		Used  map[string]int64 `cbor:"9,keyasint,omitempty"`
 		// ReadAgeMS is the time since the sender's own last read of the endpoints.
 		ReadAgeMS int64 `cbor:"22,keyasint"`
-		// Breaks counts the attempts of suspect requests that broke off; Quarantined are kept out.
+		// Breaks counts the attempts of suspect requests that broke off; Quarantined are kept out, for
+		// the given time in a row.
 		Breaks      map[suspect.Key]int `cbor:"24,keyasint,omitempty"`
-		Quarantined []suspect.Key       `cbor:"25,keyasint,omitempty"`
+		Quarantined map[suspect.Key]int `cbor:"25,keyasint,omitempty"`
 		// Outcomes are those of the services in a roll-out.
 		Outcomes map[string]outcomes `cbor:"21,keyasint,omitempty"`
 		// Recent is the part of Used by processes that have just started, AgeMS the time since the
--- a/entryd/relay/quarantine.go
+++ b/entryd/relay/quarantine.go
@@ -49,9 +49,9 @@
 }
 
 // quarantine takes in what other daemons keep out. The tables are locked.
-func (t *tables) quarantine(keys []suspect.Key, now time.Time) {
-	for _, key := range keys {
-		t.suspects.Quarantine(key, now)
+func (t *tables) quarantine(told map[suspect.Key]int, now time.Time) {
+	for key, strikes := range told {
+		t.suspects.Quarantine(key, strikes, now)
 	}
 }
 
--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -186,7 +186,7 @@
 	outcomes map[string]outcomes
 	breaks   map[suspect.Key]int
 	// quarantined are the requests that any daemon keeps out.
-	quarantined []suspect.Key
+	quarantined map[suspect.Key]int
 	peers       map[string]peerLoads
 }
 
