relay: one reader of what others tell

Cause: the sums of roll-outs and of breaks added what the own hub tells and what other daemons have told directly. A daemon that was a hub before it followed another one counted those daemons twice, which could stop a good version or keep an innocent request out; loads already told the two apart. Change: tellers returns the hub or the daemons, and both sums use it. Result: TestOldHubCountsOnce fails before in both points and passes after.

--- a/entryd/relay/quarantine.go
+++ b/entryd/relay/quarantine.go
@@ -28,8 +28,8 @@
 func (t *tables) kept(key suspect.Key, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	told := t.hubLoads.breaks[key]
-	for _, p := range t.peers {
+	told := 0
+	for p := range t.tellers() {
 		told += p.breaks[key]
 	}
 	return t.suspects.Blocked(key, told, now)
--- a/entryd/relay/rollout.go
+++ b/entryd/relay/rollout.go
@@ -113,15 +113,11 @@
 // told is this one's too, so that a new holder of the duty does not tell another.
 func (t *tables) sumOutcomes(r *rollout, now time.Time) {
 	sum := outcomes{Target: r.order.Target, Good: r.good, Bad: r.bad}
-	add := func(p peerLoads) {
+	for p := range t.tellers() {
 		if o, ok := p.outcomes[r.order.Service]; ok && o.Target == r.order.Target {
 			sum = sum.plus(o)
 		}
 	}
-	add(t.hubLoads)
-	for _, p := range t.peers {
-		add(p)
-	}
 	r.state = r.state.WithOutcomes(sum.Good, sum.Bad).WithAge(time.Duration(sum.AgeMS)*time.Millisecond, now)
 	if sum.Stopped {
 		r.state = r.state.Stop()
--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"iter"
 	"maps"
 	"time"
 
@@ -156,6 +157,15 @@
 	return t.followsHub
 }
 
+// tellers returns what tells of all other daemons: the own hub, or each of them. What daemons told
+// this one while it was a hub is left out, since its present hub tells of them too.
+func (t *tables) tellers() iter.Seq[peerLoads] {
+	if t.followsHub {
+		return func(yield func(peerLoads) bool) { yield(t.hubLoads) }
+	}
+	return maps.Values(t.peers)
+}
+
 // followers returns the daemons that asked for totals lately.
 func (t *tables) followers(now time.Time) map[string]bool {
 	t.mutex.Lock()
--- a/entryd/relay/sums_test.go
+++ b/entryd/relay/sums_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilstage.dev/decide/shift"
+	"lentilstage.dev/decide/suspect"
 )
 
 // TestTotalsLeaveTheReceiverOut guards against a daemon that counts its own loads, use or answers
@@ -93,3 +94,25 @@
 		t.Errorf("snapshot has %v, want the order", got)
 	}
 }
+
+// TestOldHubCountsOnce guards against a daemon that was a hub, follows another one now, and counts what
+// it was told then beside what its hub tells of the same daemons.
+func TestOldHubCountsOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newTables(Settings{Name: "entry-1"}, "first")
+	d.rollOut(Rollout{Service: "pool", Target: "v2", Length: 10 * time.Second}, Record{Key: "pool", Offset: 5}, now)
+	told := message{
+		Daemon: "entry-2", Incarnation: "1", Breaks: map[suspect.Key]int{7: 2},
+		Outcomes: map[string]outcomes{"pool": {Target: "v2", Good: 2, Bad: 2}},
+	}
+	d.heard(told, now)
+	told.Daemon, told.Totals = "entry-3", &totals{Daemons: 3}
+	d.heardTotals(told, now)
+	d.verdicts(now)
+	if d.rollouts["pool"].state.Stopped() {
+		t.Error("two bad answers stop the new version")
+	}
+	if d.kept(7, now) {
+		t.Error("two breaks keep a request out")
+	}
+}
