--- a/decide/choice/choice.go
+++ b/decide/choice/choice.go
@@ -88,6 +88,16 @@
 	}
 )
 
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load {
+	return Load{Requests: l.Requests + o.Requests, Reading: l.Reading + o.Reading, Memory: l.Memory + o.Memory}
+}
+
+// Minus returns the load without another one.
+func (l Load) Minus(o Load) Load {
+	return l.Plus(Load{Requests: -o.Requests, Reading: -o.Reading, Memory: -o.Memory})
+}
+
 const (
 	// ReadPerMS is the prompt tokens that an engine reads in a millisecond beside running
 	// requests; users state 44 and 50 for an idle one.
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -83,8 +83,7 @@
 	// placement is a request's load at an endpoint; its owner ends it.
 	placement struct {
 		endpoint string
-		reading  float64
-		memory   float64
+		load     choice.Load
 	}
 )
 
@@ -309,12 +308,10 @@
 
 // load returns an endpoint's load by this daemon and by the others, as they were heard.
 func (t *tables) load(id string, heard map[uint32]load) choice.Load {
-	sum := t.own[id]
 	others := heard[shortID(id)]
-	sum.Requests += others.Requests
-	sum.Reading += float64(others.Reading)
-	sum.Memory += float64(others.Memory)
-	return sum
+	return t.own[id].Plus(choice.Load{
+		Requests: others.Requests, Reading: float64(others.Reading), Memory: float64(others.Memory),
+	})
 }
 
 // candidates returns the endpoints of the service that may get the call. Endpoints that
@@ -399,10 +396,9 @@
 		return setup.Endpoint{}, picked, nil, false
 	}
 	endpoint, _ := t.endpoint(picked.Candidate.ID)
-	p := &placement{endpoint: endpoint.ID}
+	p := &placement{endpoint: endpoint.ID, load: choice.Load{Requests: 1}}
 	if request.Model {
-		p.reading = float64(picked.Uncached)
-		p.memory = float64(request.Prompt + request.Answer)
+		p.load.Reading, p.load.Memory = float64(picked.Uncached), float64(request.Prompt+request.Answer)
 		if len(w.tried) == 0 {
 			// A request that is sent again brings no further demand.
 			t.work[w.service] += workOf(request, picked.Uncached, endpoint.Slots)
@@ -411,11 +407,7 @@
 			t.cached[cacheKey{endpoint: endpoint.ID, part: part.ID}] = now.Add(t.cacheTime)
 		}
 	}
-	load := t.own[endpoint.ID]
-	load.Requests++
-	load.Reading += p.reading
-	load.Memory += p.memory
-	t.own[endpoint.ID] = load
+	t.own[endpoint.ID] = t.own[endpoint.ID].Plus(p.load)
 	t.health, _ = t.health.Update(health.Sent{Time: now, Instance: endpoint.ID})
 	return endpoint, picked, p, true
 }
@@ -442,25 +434,20 @@
 func (t *tables) read(p *placement) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	load := t.own[p.endpoint]
-	load.Reading -= p.reading
-	p.reading = 0
-	t.own[p.endpoint] = load
+	t.own[p.endpoint] = t.own[p.endpoint].Minus(choice.Load{Reading: p.load.Reading})
+	p.load.Reading = 0
 }
 
 // end says that a placed call is no longer at its endpoint.
 func (t *tables) end(p *placement) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	load := t.own[p.endpoint]
-	load.Requests--
-	load.Reading -= p.reading
-	load.Memory -= p.memory
-	if load.Requests <= 0 {
+	rest := t.own[p.endpoint].Minus(p.load)
+	if rest.Requests <= 0 {
 		delete(t.own, p.endpoint)
 		return
 	}
-	t.own[p.endpoint] = load
+	t.own[p.endpoint] = rest
 }
 
 // judge takes in how an attempt ended.
--- a/lsbench/replay.go
+++ b/lsbench/replay.go
@@ -177,7 +177,7 @@
 	for _, d := range m.daemons {
 		others := make(map[string]choice.Load, len(total))
 		for id, l := range total {
-			others[id] = minus(l, d.own[id])
+			others[id] = l.Minus(d.own[id])
 		}
 		m.after(delay, func() { d.others = others })
 	}
@@ -214,18 +214,15 @@
 	}
 	placed := choice.Load{Requests: 1, Reading: float64(picked.Uncached), Memory: float64(request.Prompt + request.Answer)}
 	m.count(d, e.id, placed)
-	read := func() {
-		m.count(d, e.id, choice.Load{Reading: -placed.Reading})
-		placed.Reading = 0
-	}
 	e.send(&job{
 		session: a.Session, prompt: a.Prompt, shared: a.Shared, answer: request.Answer, rank: a.Rank,
 		onFirst: func() {
-			read()
+			m.count(d, e.id, choice.Load{Reading: -placed.Reading})
+			placed.Reading = 0
 			m.results[i].first = float64(m.elapsed().Microseconds())/1000 - a.At
 		},
 		onDone: func() {
-			m.count(d, e.id, choice.Load{Requests: -placed.Requests, Reading: -placed.Reading, Memory: -placed.Memory})
+			m.count(d, e.id, choice.Load{}.Minus(placed))
 			if m.results[i].first < 0 && m.results[i].sends < maxSends {
 				m.arrive(i)
 			}
@@ -238,7 +235,7 @@
 	for _, id := range m.order {
 		c := choice.Candidate{
 			ID: id, DataCentre: m.engines[id].dataCentre, Slots: m.load.Engine.Slots, Memory: m.load.Engine.Memory,
-			Load: plus(d.own[id], d.others[id]), Local: strings.Contains(d.name, m.engines[id].dataCentre),
+			Load: d.own[id].Plus(d.others[id]), Local: strings.Contains(d.name, m.engines[id].dataCentre),
 		}
 		if a.Session != "" && m.now.Before(d.cached[cachedPart{id, a.Session}]) {
 			c.Cached = a.Shared
@@ -249,14 +246,6 @@
 }
 
 func (m *replayModel) count(d *replayDaemon, endpoint string, l choice.Load) {
-	d.own[endpoint] = plus(d.own[endpoint], l)
-	m.total[endpoint] = plus(m.total[endpoint], l)
-}
-
-func plus(a, b choice.Load) choice.Load {
-	return choice.Load{Requests: a.Requests + b.Requests, Reading: a.Reading + b.Reading, Memory: a.Memory + b.Memory}
-}
-
-func minus(a, b choice.Load) choice.Load {
-	return plus(a, choice.Load{Requests: -b.Requests, Reading: -b.Reading, Memory: -b.Memory})
+	d.own[endpoint] = d.own[endpoint].Plus(l)
+	m.total[endpoint] = m.total[endpoint].Plus(l)
 }
