hold, scale, relay, quota: simpler forms of what was added

Former copies are dropped by request instead of by a walk over all requests; two cases of scale.order were one; the pauses between greetings and between reads of records grow by one rule; quota copies a map by the library, and Silent stands beside sharing.

--- a/decide/hold/former.go
+++ b/decide/hold/former.go
@@ -36,31 +36,28 @@
 
 // dropCovered drops the former copies that the record starts with.
 func (s *Store) dropCovered(record wire.HeldRequest) {
-	if _, ok := s.former[record.RequestID]; !ok {
-		return
-	}
-	s.dropFormer(func(r wire.HeldRequest) bool {
-		return r.RequestID == record.RequestID && r.Account == record.Account && Covers(record, end(r))
+	s.dropFormer(record.RequestID, func(r wire.HeldRequest) bool {
+		return r.Account == record.Account && Covers(record, end(r))
 	})
 }
 
-// dropFormer drops the former copies that the function names.
-func (s *Store) dropFormer(unneeded func(wire.HeldRequest) bool) {
-	for id, formers := range s.former {
-		kept := make([]wire.HeldRequest, 0, len(formers))
-		for _, r := range formers {
-			if unneeded(r) {
-				s.bytes -= size(r)
-				continue
-			}
-			kept = append(kept, r)
-		}
-		if s.former[id] = kept; len(kept) == 0 {
-			delete(s.former, id)
+// dropFormer drops the former copies of a request that the function names.
+func (s *Store) dropFormer(id string, unneeded func(wire.HeldRequest) bool) {
+	var kept []wire.HeldRequest
+	for _, r := range s.former[id] {
+		if unneeded(r) {
+			s.bytes -= size(r)
+			continue
 		}
+		kept = append(kept, r)
+	}
+	if s.former[id] = kept; len(kept) == 0 {
+		delete(s.former, id)
 	}
 }
 
+func all(wire.HeldRequest) bool { return true }
+
 // dropOldestFormer drops the former copies of the request whose copy has waited longest. It
 // reports whether there was one.
 func (s *Store) dropOldestFormer() bool {
@@ -68,9 +65,8 @@
 	if len(ids) == 0 {
 		return false
 	}
-	oldest := slices.MinFunc(ids, func(a, b string) int {
+	s.dropFormer(slices.MinFunc(ids, func(a, b string) int {
 		return s.former[a][0].KeepUntil.Compare(s.former[b][0].KeepUntil)
-	})
-	s.dropFormer(func(r wire.HeldRequest) bool { return r.RequestID == oldest })
+	}), all)
 	return true
 }
--- a/decide/hold/room.go
+++ b/decide/hold/room.go
@@ -24,7 +24,7 @@
 func (s *Store) remove(id string) {
 	s.bytes -= size(s.records[id])
 	delete(s.records, id)
-	s.dropFormer(func(r wire.HeldRequest) bool { return r.RequestID == id })
+	s.dropFormer(id, all)
 }
 
 // noteFinished queues a record that has just ended, as the next to make room.
--- a/decide/hold/store.go
+++ b/decide/hold/store.go
@@ -298,7 +298,9 @@
 		s.remove(id)
 		commands = append(commands, Dropped{RequestID: id})
 	}
-	s.dropFormer(func(r wire.HeldRequest) bool { return now.After(r.KeepUntil) })
+	for id := range s.former {
+		s.dropFormer(id, func(r wire.HeldRequest) bool { return now.After(r.KeepUntil) })
+	}
 	// The list would otherwise grow by one name for each answer in a store that never fills.
 	s.finished = slices.DeleteFunc(s.finished, func(id string) bool { return !ended(s.records[id]) })
 	return s, commands
--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -17,6 +17,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -340,6 +341,18 @@
 	}
 }
 
+// Silent returns the number of peers that have fallen silent.
+func (s *State) Silent(now time.Time) int {
+	s.settle(now)
+	count := 0
+	for _, p := range s.peers {
+		if p.silent {
+			count++
+		}
+	}
+	return count
+}
+
 // sharing returns the number of daemons that are heard and of all, this one included.
 func (s *State) sharing() (heard, daemons float64) {
 	heard, daemons = 1, 1
@@ -398,11 +411,7 @@
 
 // Used returns a copy of what this daemon has used since its start, for its digest.
 func (s *State) Used() map[string]float64 {
-	used := make(map[string]float64, len(s.used))
-	for name, amount := range s.used {
-		used[name] = amount
-	}
-	return used
+	return maps.Clone(s.used)
 }
 
 func (Configured) message() {}
@@ -410,15 +419,3 @@
 func (Listed) message()     {}
 func (Reset) message()      {}
 func (Forgotten) message()  {}
-
-// Silent returns the number of peers that have fallen silent.
-func (s *State) Silent(now time.Time) int {
-	s.settle(now)
-	count := 0
-	for _, p := range s.peers {
-		if p.silent {
-			count++
-		}
-	}
-	return count
-}
--- a/decide/scale/scale.go
+++ b/decide/scale/scale.go
@@ -273,8 +273,8 @@
 	return sorted
 }
 
-// order returns an order for a kind if one is due: more are wanted than were ordered or came,
-// or clearly fewer.
+// order returns an order for a kind if one is due: another number is wanted than was ordered, or
+// fewer are there.
 func (v View) order(kind Kind, want int) (Order, bool) {
 	o := Order{Kind: kind, Count: want}
 	last, known := v.Memory.ordered[kind]
@@ -286,9 +286,7 @@
 	switch {
 	case v.Now.Before(last.refusedUntil):
 		return o, false
-	case want > last.count:
-		return o, true
-	case want < last.count:
+	case want != last.count:
 		return o, true
 	case known && v.Ready[kind] < want && v.Now.Sub(last.at) > v.Scaling.BootTime+lateMargin:
 		return o, true
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -162,7 +162,7 @@
 		d.tables.leaveHub(d.members.names(), now)
 	}
 	g.greet(now)
-	digest := d.tables.digest(d.clock.now())
+	digest := d.tables.digest(now)
 	digest.Digest = true
 	g.sign(&digest)
 	for _, h := range d.members.hubs(now) {
--- a/entryd/relay/members.go
+++ b/entryd/relay/members.go
@@ -166,7 +166,12 @@
 
 // interval returns the pause between greetings.
 func (m *members) interval() time.Duration {
-	return greetInterval * time.Duration(max(greetDaemons, len(m.known))) / greetDaemons
+	return m.stretched(greetInterval)
+}
+
+// stretched returns a pause that grows with the number of daemons beyond greetDaemons.
+func (m *members) stretched(pause time.Duration) time.Duration {
+	return pause * time.Duration(max(greetDaemons, len(m.known))) / greetDaemons
 }
 
 // lasts returns how long a greeting counts.
@@ -250,7 +255,7 @@
 func (m *members) readInterval() time.Duration {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return memberInterval * time.Duration(max(greetDaemons, len(m.known))) / greetDaemons
+	return m.stretched(memberInterval)
 }
 
 // controls returns the control addresses of the daemons with a configuration newer than the
