--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -35,9 +35,9 @@
 	// settlePause is how long endpoints may take to be known: they register anew about once a
 	// second, and some only seconds after the daemons start.
 	settlePause = 3 * time.Second
-	// answerTokenMS is the time of an engine that one generated token takes, shared by the
+	// sharedTokenMS is the time of an engine that one generated token takes, shared by the
 	// requests that run beside it; a busy batch of 15 takes about 3 ms a step.
-	answerTokenMS = 0.2
+	sharedTokenMS = 0.2
 )
 
 func newCapacity(d *Daemon) *capacity {
@@ -196,7 +196,7 @@
 // workOf returns the time of an engine that a request takes, in milliseconds. With few slots a
 // request's slot binds rather than the steps that it shares.
 func workOf(r choice.Request, uncached, slots int) float64 {
-	token := answerTokenMS
+	token := sharedTokenMS
 	if slots > 0 {
 		token = max(token, choice.AnswerTokenMS/float64(slots))
 	}
