members: pass over a hub that can't read the log

Cause: the platform's log may turn some machines away and serve others. A hub among them stayed the hub of its data centre.

Change: daemons tell the age of their own reads already. A hub whose last read is older than 3 s gives way to the first in order of those that have read for a second. While nobody in a data centre can read, its daemons follow the hub of another one and go on trying. After an outage of the whole log nothing changes hands.

--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -101,7 +101,7 @@
 	now := d.clock.now()
 	sender := member{
 		Name: m.Daemon, Address: from, Control: m.Control, DataCentre: m.DataCentre, Speed: m.Speed,
-		Incarnation: m.Incarnation, config: m.Config, holds: m.Fence > 0,
+		Incarnation: m.Incarnation, config: m.Config, holds: m.Fence > 0, readAt: now.Add(-m.readAge()),
 	}
 	if d.members.heard(sender, now) {
 		d.logger.WithName("gossip").Info("Daemon heard.", "Daemon", m.Daemon, "Address", from, "Incarnation", m.Incarnation)
@@ -156,7 +156,7 @@
 		return
 	}
 	g.sentAt = now
-	d.members.setHolds(d.duty.fence() > 0)
+	d.members.setOwn(d.duty.fence() > 0, now.Add(-d.feed.readAge(now)))
 	hub, own := d.members.follow(now)
 	if own {
 		d.tables.leaveHub(d.members.names(), now)
--- a/entryd/relay/members.go
+++ b/entryd/relay/members.go
@@ -47,6 +47,10 @@
 		config    int64
 		// holds says that the daemon holds the duty.
 		holds bool
+		// readAt is the daemon's own last read of the endpoints, readSince the time since which
+		// such reads have come without a gap.
+		readAt    time.Time
+		readSince time.Time
 	}
 )
 
@@ -68,6 +72,12 @@
 	memberInterval = 15 * time.Second
 	startInterval  = time.Second
 	startReads     = 3
+	// sightedFor is how long a daemon is taken to read the log after a read that it has told: a hub
+	// reads at least every two seconds, and greetings with its news come an interval apart.
+	sightedFor = 3 * time.Second
+	// sightedFirst is how long a daemon must have read before it replaces a hub that does not. After
+	// an outage of the log the hub is back within that time.
+	sightedFirst = time.Second
 	// memberRecordEvery is the pause between two records of a daemon; a daemon without one
 	// for memberForget is gone.
 	memberRecordEvery = 30 * time.Second
@@ -84,11 +94,13 @@
 	}
 }
 
-// setHolds notes whether this daemon holds the duty.
-func (m *members) setHolds(holds bool) {
+// setOwn notes whether this daemon holds the duty and when it last read the endpoints.
+func (m *members) setOwn(holds bool, readAt time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.self.holds = holds
+	before := m.self
+	m.self.holds, m.self.readAt = holds, readAt
+	m.self.keepSight(before, m.sightedFor())
 }
 
 // own returns this daemon's entry.
@@ -108,12 +120,28 @@
 		m.known[from.Name] = known
 	}
 	news := known.Incarnation != from.Incarnation
-	listedAt := known.listedAt
+	last := *known
 	*known = from
-	known.heardAt, known.listedAt = now, listedAt
+	known.heardAt, known.listedAt = now, last.listedAt
+	known.keepSight(last, m.sightedFor())
 	return news
 }
 
+// keepSight sets since when the daemon has read the log, by what was known of it before.
+func (k *member) keepSight(last member, gap time.Duration) {
+	if k.readAt.Before(last.readAt) {
+		// Messages may overtake each other.
+		k.readAt = last.readAt
+	}
+	k.readSince = last.readSince
+	if k.readAt.Sub(last.readAt) > gap {
+		k.readSince = k.readAt
+	}
+}
+
+// sightedFor returns how long a daemon is taken to read the log after a read that it has told.
+func (m *members) sightedFor() time.Duration { return sightedFor + m.interval() }
+
 // listed notes a daemon's record and returns whether the daemon was not known.
 func (m *members) listed(from member, now time.Time) bool {
 	m.mutex.Lock()
@@ -147,21 +175,45 @@
 	return gone
 }
 
-// hubs returns the hub of each data centre, by data centre. The own daemon may be one.
+// hubs returns the hub of each data centre, by data centre. The own daemon may be one. A daemon that
+// can't read the log is passed over for one that can: those that follow it may be turned away too.
 func (m *members) hubs(now time.Time) map[string]member {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	hubs := map[string]member{m.self.DataCentre: m.self}
+	first, sighted := map[string]member{}, map[string]member{}
+	take := func(k member) {
+		prefer(first, k)
+		if m.sightedLong(k, now) {
+			prefer(sighted, k)
+		}
+	}
+	take(m.self)
 	for _, k := range m.known {
-		if !m.live(k, now) {
-			continue
+		if m.live(k, now) {
+			take(*k)
 		}
-		first, ok := hubs[k.DataCentre]
-		if !ok || before(*k, first) {
-			hubs[k.DataCentre] = *k
+	}
+	for centre, k := range first {
+		if other, ok := sighted[centre]; ok && !m.sighted(k, now) {
+			first[centre] = other
 		}
 	}
-	return hubs
+	return first
+}
+
+// prefer takes a daemon for the hub of its data centre if it goes before the present one.
+func prefer(hubs map[string]member, k member) {
+	if present, ok := hubs[k.DataCentre]; !ok || before(k, present) {
+		hubs[k.DataCentre] = k
+	}
+}
+
+// sighted reports whether a daemon has read the log lately.
+func (m *members) sighted(k member, now time.Time) bool { return now.Sub(k.readAt) < m.sightedFor() }
+
+// sightedLong reports whether a daemon may replace a hub that can't read the log.
+func (m *members) sightedLong(k member, now time.Time) bool {
+	return m.sighted(k, now) && now.Sub(k.readSince) >= sightedFirst
 }
 
 // interval returns the pause between greetings.
@@ -197,11 +249,20 @@
 }
 
 // follow returns the own hub, and whether this daemon is it. A hub that stays silent is
-// passed over.
+// passed over. While no daemon of the own data centre can read the log, the hub is that of another
+// one that can.
 func (m *members) follow(now time.Time) (member, bool) {
-	hub := m.hubs(now)[m.self.DataCentre]
+	hubs := m.hubs(now)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	hub := hubs[m.self.DataCentre]
+	if !m.sighted(hub, now) {
+		for _, h := range hubs {
+			if m.sightedLong(h, now) && (!m.sightedLong(hub, now) || before(h, hub)) {
+				hub = h
+			}
+		}
+	}
 	if hub.Name != m.hub {
 		m.hub, m.hubSince = hub.Name, now
 	}
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -103,7 +103,9 @@
 // needed reports whether this daemon reads the stream itself.
 func (f *follower) needed(now time.Time) bool {
 	d := f.daemon
-	if _, own := d.members.follow(now); own || !f.synced {
+	hub, own := d.members.follow(now)
+	if own || !f.synced || hub.DataCentre != d.settings.DataCentre {
+		// A hub of another data centre is followed only while no own one can read the log.
 		return true
 	}
 	return !d.feed.fresh(f.stream, now)
