sums: a new hub plans for present work only

Cause: a hub that heard a daemon for the first time, or again after a silence, took all that it had placed since its start for demand of that moment.

Change: the work of others counts from digest to digest, as their use of allowances does already.

--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -178,11 +178,7 @@
 			ready[scale.Kind{DataCentre: e.DataCentre, Reclaimable: e.Reclaimable}]++
 		}
 	}
-	work := t.work[service] + t.pastWork[service]
-	for _, p := range t.peers {
-		work += float64(p.work[service])
-	}
-	return ready, work / 1000
+	return ready, (t.work[service] + t.placed[service]) / 1000
 }
 
 // settled reports whether the endpoints have been listed for long enough that all that live
--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -58,7 +58,11 @@
 	if p.young = m.AgeMS < youngAge.Milliseconds(); p.young {
 		recent = amounts(m.Used)
 	}
-	p.counted = p.count(m, known && p.incarnation == m.Incarnation)
+	same := known && p.incarnation == m.Incarnation
+	p.counted = p.count(m, same)
+	if same && now.Sub(p.heardAt) < loadsLast {
+		p.addWork(t.placed, m.Work)
+	}
 	p.heardAt, p.incarnation, p.loads, p.used, p.work = now, m.Incarnation, m.Loads, m.Used, m.Work
 	p.outcomes, p.breaks = m.Outcomes, m.Breaks
 	t.quarantine(m.Quarantined, now)
@@ -92,11 +96,16 @@
 	return counted
 }
 
-// keepUsed adds what an ended process had used and placed to the sums, which must not fall.
-func (t *tables) keepUsed(p peerLoads) {
-	for service, work := range p.work {
-		t.pastWork[service] += float64(work)
+// addWork adds the work that the daemon has placed since its last digest to a sum. What it had placed
+// before it was heard, or while it was not, is left out: it would show as demand of this moment.
+func (p peerLoads) addWork(sum map[string]float64, work map[string]int64) {
+	for service, placed := range work {
+		sum[service] += float64(placed - p.work[service])
 	}
+}
+
+// keepUsed adds what an ended process had used to the sum, which must not fall.
+func (t *tables) keepUsed(p peerLoads) {
 	for account, used := range p.counted {
 		t.pastUsed[account] += used
 	}
--- a/entryd/relay/sums_test.go
+++ b/entryd/relay/sums_test.go
@@ -63,6 +63,33 @@
 	}
 }
 
+// TestNewHubPlansForPresentWork guards against a hub that takes all that the others have placed since
+// their start, or while it did not hear them, for demand of this moment, and orders endpoints for it.
+func TestNewHubPlansForPresentWork(t *testing.T) {
+	now := time.Unix(1000, 0)
+	hub := newTables(Settings{Name: "entry-1"}, "first")
+	for i, step := range []struct {
+		incarnation string
+		pause       time.Duration
+		placed      int64
+		want        float64
+	}{
+		{"1", 0, 60_000, 0},
+		{"1", 200 * time.Millisecond, 61_000, 1},
+		{"1", 5 * time.Second, 90_000, 1},
+		{"1", 200 * time.Millisecond, 91_500, 2.5},
+		// A process that has started again begins its count anew, and the sum must not fall.
+		{"2", 200 * time.Millisecond, 500, 2.5},
+		{"2", 200 * time.Millisecond, 1_500, 3.5},
+	} {
+		now = now.Add(step.pause)
+		hub.heard(message{Daemon: "entry-2", Incarnation: step.incarnation, Work: map[string]int64{"pool": step.placed}}, now)
+		if _, got := hub.fleet("pool", now); got != step.want {
+			t.Errorf("step %d: work of %g s, want %g", i, got, step.want)
+		}
+	}
+}
+
 // TestRolloutIsShared guards against a daemon that starts late and begins an order's time anew, sends
 // requests to a version that another one has stopped, or tells another verdict after a final one.
 func TestRolloutIsShared(t *testing.T) {
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -41,10 +41,11 @@
 		hubLoads   peerLoads
 		followsHub bool
 		hub        string
-		// work is the engine time of what this daemon has placed, in milliseconds by service.
-		work map[string]float64
-		// pastUsed and pastWork are those of ended processes.
-		pastWork map[string]float64
+		// work is the engine time of what this daemon has placed, in milliseconds by service, and
+		// placed that of the others since this one hears them.
+		work   map[string]float64
+		placed map[string]float64
+		// pastUsed is what ended processes have used.
 		pastUsed map[string]int64
 		// list and hash are derived from the roster, and out of date while stale is set.
 		list  []setup.Endpoint
@@ -119,7 +120,7 @@
 		roster: roster.New(), health: health.New(settings), quota: quota.New(start, phaseOf(s.Name)),
 		usage: usage.New(s.Name, incarnation, window),
 		own:   map[string]choice.Load{}, peers: map[string]peerLoads{},
-		pastUsed: map[string]int64{}, work: map[string]float64{}, pastWork: map[string]float64{},
+		pastUsed: map[string]int64{}, work: map[string]float64{}, placed: map[string]float64{},
 		cached: map[cacheKey]time.Time{}, cacheTime: s.Bounds.CacheReuse,
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, suspects: suspect.New(),
 	}
