--- a/entryd/relay/control.go
+++ b/entryd/relay/control.go
@@ -15,7 +15,8 @@
 type snapshot struct {
 	Operators []Record `json:"Operators"`
 	Endpoints []Record `json:"Endpoints"`
-	// End is the offset after the newest of the endpoints' records.
+	// End is the offset after the last of the endpoints' records that the giver knows of: an endpoint
+	// with an older record that is not among Endpoints is gone.
 	End int64 `json:"End"`
 }
 
@@ -38,11 +39,21 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(d.tables.snapshot()); err != nil {
+	if err := json.NewEncoder(w).Encode(d.snapshot()); err != nil {
 		d.logger.WithName("control").Info("Reader left.", "Error", err.Error())
 	}
 }
 
+// snapshot returns the records that this daemon knows. The records of endpoints that are gone are not
+// among them, so that their end is that of what was read.
+func (d *Daemon) snapshot() snapshot {
+	end := d.feed.next(Endpoints, 0)
+	s := d.tables.snapshot()
+	s.End = end
+	return s
+}
+
+// snapshot returns the records but for their end.
 func (t *tables) snapshot() snapshot {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -52,7 +63,6 @@
 	}
 	for _, r := range t.raw[Endpoints] {
 		s.Endpoints = append(s.Endpoints, r)
-		s.End = max(s.End, r.Offset+1)
 	}
 	return s
 }
--- a/entryd/relay/feed.go
+++ b/entryd/relay/feed.go
@@ -114,14 +114,16 @@
 	return now.Sub(f.hub[stream]) < limit
 }
 
-// next returns the offset from which an own read of the stream goes on, at least the given one.
+// next returns the offset after the records of the stream that this daemon knows of, at least the given
+// one. It is that from which an own read goes on.
 func (f *feed) next(stream Stream, least int64) int64 {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	next := max(least, f.ownNext[stream])
 	if stream == Endpoints {
-		return max(least, f.hubNext)
+		next = max(next, f.hubNext)
 	}
-	return max(least, f.ownNext[stream])
+	return next
 }
 
 // differs reports whether the endpoints have differed from the hub's for too long, and starts
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -135,6 +135,15 @@
 	}
 	d.tables.heardTotals(m, now)
 	d.feed.heard(*m.Totals, m.readAge(), now)
+	// A daemon whose own reads failed makes none while its hub's are fresh: what the hub finds to be
+	// gone must count here too.
+	if d.feed.fresh(Endpoints, now) && d.tables.lost() {
+		d.endpointsUp(true)
+		d.logger.WithName("store").Info("Reachable for the hub.", "Stream", Endpoints, "Hub", hub.Name)
+	}
+	if d.feed.fresh(Operators, now) {
+		d.storeLost.Store(false)
+	}
 }
 
 // takeOperators takes in records of the operators that a hub has read.
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -190,6 +190,13 @@
 	return t.update(roster.Returned{Now: now, Alone: alone})
 }
 
+// lost reports whether the log has stopped to answer.
+func (t *tables) lost() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return !t.lostAt.IsZero()
+}
+
 // elapsed lets time pass.
 func (t *tables) elapsed(now time.Time) []roster.Change {
 	t.mutex.Lock()
