suspect: answers end the suspicion at other daemons too

Cause: breaks of a request are summed over all daemons for 30 s, but an answer cleared only the counts of the daemon that got it. An innocent request that broke off once at each of three daemons was kept out for 20 s although others answered it in between, and for 10 min after a further break.

Change: daemons tell the age of answers to requests that others suspect; hubs tell them on.

Result: TestAnswerElsewhereEndsSuspicion and TestAnswersReachFollowers; TestCrashingRequest passes unchanged.

--- a/decide/suspect/suspect.go
+++ b/decide/suspect/suspect.go
@@ -3,16 +3,17 @@
 // Such a request comes again with the same caller, path and body, at any daemon. All that a daemon
 // sees is that its attempts break off without an answer, as those of many innocent requests do when
 // an endpoint crashes or a connection is reset. So breaks are counted by request over all daemons,
-// an answer clears the own count, and a request with MaxBreaks of them is quarantined. An innocent
+// an answer clears the count, also that of other daemons, and a request with MaxBreaks of them is quarantined. An innocent
 // one may get as many breaks while all endpoints are down, so that the first quarantine is short
 // and on trial after it: an answer ends the suspicion, a break quarantines for long.
 //
 // # Usage
 //
 //	state := suspect.New()
-//	state.Broke(key, now) or state.Answered(key)
+//	state.Broke(key, now) or state.Answered(key, told > 0, now)
 //	if state.Blocked(key, told, now) { ... refuse }
-//	breaks, quarantined := state.Tell(now)
+//	told := state.Tell(now)
+//	state.HeardAnswer(key, at)
 //
 // The methods change the state in place; one owner calls them.
 package suspect
@@ -32,9 +33,21 @@
 	State struct {
 		breaks    map[Key]broken
 		convicted map[Key]conviction
+		// answered are the last own answers to requests that others suspect.
+		answered  map[Key]time.Time
 		expiredAt time.Time
 	}
 
+	// Told is what a daemon tells the others.
+	Told struct {
+		// Breaks counts the breaks of the newest suspects since their last answers.
+		Breaks map[Key]int
+		// Quarantined are the requests that are kept out, with their strikes.
+		Quarantined map[Key]int
+		// AnsweredMS are the ages of answers to requests that others suspect, in milliseconds.
+		AnsweredMS map[Key]int64
+	}
+
 	// broken counts the breaks of a request since its last answer.
 	broken struct {
 		count int
@@ -67,7 +80,9 @@
 )
 
 // New returns a state that knows of no request.
-func New() *State { return &State{breaks: map[Key]broken{}, convicted: map[Key]conviction{}} }
+func New() *State {
+	return &State{breaks: map[Key]broken{}, convicted: map[Key]conviction{}, answered: map[Key]time.Time{}}
+}
 
 // Broke notes that an attempt of the request broke off without an answer.
 func (s *State) Broke(key Key, now time.Time) {
@@ -82,10 +97,21 @@
 	s.breaks[key] = broken{count: b.count + 1, at: now}
 }
 
-// Answered notes that an endpoint has answered the request.
-func (s *State) Answered(key Key) {
+// Answered notes that an endpoint has answered the request. One that other daemons suspect is told to
+// them.
+func (s *State) Answered(key Key, suspected bool, now time.Time) {
 	delete(s.breaks, key)
 	delete(s.convicted, key)
+	if suspected && len(s.answered) < maxTold {
+		s.answered[key] = now
+	}
+}
+
+// HeardAnswer takes in an answer that another daemon has told.
+func (s *State) HeardAnswer(key Key, at time.Time) {
+	if b, known := s.breaks[key]; known && !b.at.After(at) {
+		delete(s.breaks, key)
+	}
 }
 
 // Blocked reports whether the request is quarantined, with the breaks that other daemons have told.
@@ -111,20 +137,22 @@
 	s.convicted[key] = conviction{strikes: strikes, until: until, trialUntil: until.Add(quarantineTime)}
 }
 
-// Tell returns the breaks of the newest suspects and the quarantined requests with their strikes,
-// for other daemons.
-func (s *State) Tell(now time.Time) (breaks, quarantined map[Key]int) {
+// Tell returns what other daemons should know.
+func (s *State) Tell(now time.Time) Told {
 	s.expire(now)
-	breaks, quarantined = map[Key]int{}, map[Key]int{}
+	t := Told{Breaks: map[Key]int{}, Quarantined: map[Key]int{}, AnsweredMS: map[Key]int64{}}
 	for _, key := range s.newest()[:min(maxTold, len(s.breaks))] {
-		breaks[key] = s.breaks[key].count
+		t.Breaks[key] = s.breaks[key].count
 	}
 	for key, c := range s.convicted {
-		if len(quarantined) < maxTold && !now.After(c.until) {
-			quarantined[key] = c.strikes
+		if len(t.Quarantined) < maxTold && !now.After(c.until) {
+			t.Quarantined[key] = c.strikes
 		}
 	}
-	return breaks, quarantined
+	for key, at := range s.answered {
+		t.AnsweredMS[key] = now.Sub(at).Milliseconds()
+	}
+	return t
 }
 
 // dropOldest drops the suspect whose last break is the oldest.
@@ -153,5 +181,6 @@
 	}
 	s.expiredAt = now
 	maps.DeleteFunc(s.breaks, func(_ Key, b broken) bool { return now.Sub(b.at) > keepBreaks })
+	maps.DeleteFunc(s.answered, func(_ Key, at time.Time) bool { return now.Sub(at) > keepBreaks })
 	maps.DeleteFunc(s.convicted, func(_ Key, c conviction) bool { return now.After(c.trialUntil) })
 }
--- a/decide/suspect/suspect_test.go
+++ b/decide/suspect/suspect_test.go
@@ -45,7 +45,7 @@
 		t.Error("not blocked after three breaks")
 	}
 	trial := start.Add(firstTime + time.Second)
-	s.Answered(7)
+	s.Answered(7, false, start)
 	s.Broke(7, trial)
 	if s.Blocked(7, 0, trial) {
 		t.Error("blocked for one break after an answer")
@@ -59,7 +59,7 @@
 	for range 5 {
 		s.Broke(7, start)
 		s.Broke(7, start)
-		s.Answered(7)
+		s.Answered(7, false, start)
 	}
 	if s.Blocked(7, 0, start) {
 		t.Error("blocked though each second break was followed by an answer")
@@ -81,8 +81,7 @@
 	}
 	first.Blocked(7, 0, start)
 	tell := func(from, to *State, now time.Time) {
-		_, quarantined := from.Tell(now)
-		for key, strikes := range quarantined {
+		for key, strikes := range from.Tell(now).Quarantined {
 			to.Quarantine(key, strikes, now)
 		}
 	}
@@ -113,11 +112,41 @@
 		s.Quarantine(Key(i), 1, start.Add(time.Duration(i)*time.Millisecond))
 	}
 	now := start.Add(3 * maxKept * time.Millisecond)
-	breaks, quarantined := s.Tell(now)
-	if len(s.breaks) > maxKept || len(s.convicted) > maxKept || len(breaks) != maxTold || len(quarantined) != maxTold {
-		t.Errorf("%d suspects, %d quarantined, %d and %d told", len(s.breaks), len(s.convicted), len(breaks), len(quarantined))
+	told := s.Tell(now)
+	if len(s.breaks) > maxKept || len(s.convicted) > maxKept || len(told.Breaks) != maxTold || len(told.Quarantined) != maxTold {
+		t.Errorf("%d suspects, %d quarantined, %d and %d told", len(s.breaks), len(s.convicted), len(told.Breaks), len(told.Quarantined))
 	}
-	if breaks[3*maxKept-1] != 1 {
+	if told.Breaks[3*maxKept-1] != 1 {
 		t.Error("the newest break is not told")
 	}
 }
+
+// TestAnswerElsewhereEndsSuspicion guards against an innocent request that is kept out since its attempts
+// broke off once at each of three daemons, though others have had answers to it in between.
+func TestAnswerElsewhereEndsSuspicion(t *testing.T) {
+	const key = 7
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	one, other := New(), New()
+	one.Broke(key, at(1))
+	other.Answered(key, one.Tell(at(2)).Breaks[key] > 0, at(2))
+	hear := func(now time.Time) {
+		for k, age := range other.Tell(now).AnsweredMS {
+			one.HeardAnswer(k, now.Add(-time.Duration(age)*time.Millisecond))
+		}
+	}
+	hear(at(3))
+	if one.Blocked(key, MaxBreaks-1, at(3)) {
+		t.Error("a break counts that an answer elsewhere has followed")
+	}
+	one.Broke(key, at(4))
+	hear(at(5))
+	if !one.Blocked(key, MaxBreaks-1, at(5)) {
+		t.Error("an answer from before a break ends the suspicion")
+	}
+	if told := one.Tell(at(5)).AnsweredMS; len(told) != 0 {
+		t.Errorf("%d answers are told by a daemon that has only heard of them", len(told))
+	}
+	if told := other.Tell(at(60)).AnsweredMS; len(told) != 0 {
+		t.Errorf("%d answers are told long after they ended a suspicion", len(told))
+	}
+}
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -31,6 +31,8 @@
 		// the given time in a row.
 		Breaks      map[suspect.Key]int `cbor:"24,keyasint,omitempty"`
 		Quarantined map[suspect.Key]int `cbor:"25,keyasint,omitempty"`
+		// AnsweredMS are the ages of answers to requests that others suspect.
+		AnsweredMS map[suspect.Key]int64 `cbor:"30,keyasint,omitempty"`
 		// Outcomes are those of the services in a roll-out.
 		Outcomes map[string]outcomes `cbor:"21,keyasint,omitempty"`
 		// Recent is the part of Used by processes that have just started, AgeMS the time since the
--- a/entryd/relay/quarantine.go
+++ b/entryd/relay/quarantine.go
@@ -28,11 +28,16 @@
 func (t *tables) kept(key suspect.Key, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	return t.suspects.Blocked(key, t.breaksElsewhere(key), now)
+}
+
+// breaksElsewhere returns the breaks of a request that other daemons have told. The tables are locked.
+func (t *tables) breaksElsewhere(key suspect.Key) int {
 	told := 0
 	for p := range t.tellers() {
 		told += p.breaks[key]
 	}
-	return t.suspects.Blocked(key, told, now)
+	return told
 }
 
 // attempted notes whether an endpoint has answered a request or its attempt broke off.
@@ -43,16 +48,29 @@
 	case broken:
 		t.suspects.Broke(key, now)
 	case delivered, failed:
-		t.suspects.Answered(key)
+		t.suspects.Answered(key, t.breaksElsewhere(key) > 0, now)
 	default:
 	}
 }
 
-// quarantine takes in what other daemons keep out. The tables are locked.
-func (t *tables) quarantine(told map[suspect.Key]int, now time.Time) {
-	for key, strikes := range told {
+// hearSuspects takes in what other daemons keep out, and which suspects they have had answers to. The
+// tables are locked.
+func (t *tables) hearSuspects(m message, now time.Time) {
+	for key, strikes := range m.Quarantined {
 		t.suspects.Quarantine(key, strikes, now)
 	}
+	for key, at := range m.answered(now) {
+		t.suspects.HeardAnswer(key, at)
+	}
+}
+
+// answered returns when the sender, or those it tells of, had answers to suspects.
+func (m message) answered(now time.Time) map[suspect.Key]time.Time {
+	answered := make(map[suspect.Key]time.Time, len(m.AnsweredMS))
+	for key, age := range m.AnsweredMS {
+		answered[key] = now.Add(-time.Duration(age) * time.Millisecond)
+	}
+	return answered
 }
 
 // keepOut refuses a request that has crashed endpoints and reports whether it did.
--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -29,7 +29,8 @@
 	for service, r := range t.rollouts {
 		m.Outcomes[service] = r.outcomes(now)
 	}
-	m.Breaks, m.Quarantined = t.suspects.Tell(now)
+	told := t.suspects.Tell(now)
+	m.Breaks, m.Quarantined, m.AnsweredMS = told.Breaks, told.Quarantined, told.AnsweredMS
 	newest := int64(0)
 	own := t.usage.Own()
 	for window := range own {
@@ -64,8 +65,8 @@
 		p.addWork(t.placed, m.Work)
 	}
 	p.heardAt, p.incarnation, p.loads, p.used, p.work = now, m.Incarnation, m.Loads, m.Used, m.Work
-	p.outcomes, p.breaks = m.Outcomes, m.Breaks
-	t.quarantine(m.Quarantined, now)
+	p.outcomes, p.breaks, p.answered = m.Outcomes, m.Breaks, m.answered(now)
+	t.hearSuspects(m, now)
 	t.prompts.heard(m.Kept, now)
 	t.peers[m.Daemon] = p
 	counts := make(map[int64]usage.Counts, len(m.Counts))
@@ -121,7 +122,7 @@
 		t.quota.Update(quota.Reset{Now: now})
 	}
 	t.hubLoads = peerLoads{heardAt: now, loads: m.Loads, outcomes: m.Outcomes, breaks: m.Breaks}
-	t.quarantine(m.Quarantined, now)
+	t.hearSuspects(m, now)
 	t.prompts.heard(m.Kept, now)
 	t.quota.Update(quota.Heard{
 		Daemon: hubName, Incarnation: m.Daemon + m.Incarnation, Used: amounts(m.Used), Recent: amounts(m.Recent),
@@ -222,7 +223,9 @@
 	breaks   map[suspect.Key]int
 	// quarantined are the requests that any daemon keeps out.
 	quarantined map[suspect.Key]int
-	peers       map[string]peerLoads
+	// answered are the ages of answers to suspects.
+	answered map[suspect.Key]int64
+	peers    map[string]peerLoads
 }
 
 // sums returns the loads and uses of all daemons, this one included, which may be young.
@@ -232,7 +235,7 @@
 	defer t.mutex.Unlock()
 	s := sums{
 		loads: own.Loads, used: own.Used, recent: map[string]int64{}, outcomes: own.Outcomes,
-		breaks: own.Breaks, quarantined: own.Quarantined, peers: map[string]peerLoads{},
+		breaks: own.Breaks, quarantined: own.Quarantined, answered: own.AnsweredMS, peers: map[string]peerLoads{},
 	}
 	if young {
 		s.recent = maps.Clone(own.Used)
@@ -251,6 +254,12 @@
 		for key, count := range p.breaks {
 			s.breaks[key] += count
 		}
+		for key, at := range p.answered {
+			age := now.Sub(at).Milliseconds()
+			if known, ok := s.answered[key]; !ok || age < known {
+				s.answered[key] = age
+			}
+		}
 		for account, used := range p.counted {
 			s.used[account] += used
 		}
@@ -268,7 +277,7 @@
 func (s sums) without(daemon string) message {
 	p := s.peers[daemon]
 	m := message{Loads: maps.Clone(s.loads), Used: maps.Clone(s.used), Recent: maps.Clone(s.recent), Outcomes: maps.Clone(s.outcomes)}
-	m.Breaks, m.Quarantined = maps.Clone(s.breaks), s.quarantined
+	m.Breaks, m.Quarantined, m.AnsweredMS = maps.Clone(s.breaks), s.quarantined, s.answered
 	for key, count := range p.breaks {
 		if m.Breaks[key] -= count; m.Breaks[key] <= 0 {
 			delete(m.Breaks, key)
--- a/entryd/relay/sums_test.go
+++ b/entryd/relay/sums_test.go
@@ -143,3 +143,19 @@
 		t.Error("two breaks keep a request out")
 	}
 }
+
+// TestAnswersReachFollowers guards against a follower that goes on to suspect a request which another
+// daemon has had an answer to, since the hub does not tell of it.
+func TestAnswersReachFollowers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	hub, follower := newTables(Settings{Name: "entry-1"}, "first"), newTables(Settings{Name: "entry-2"}, "first")
+	follower.attempted(7, broken, now)
+	now = now.Add(time.Second)
+	hub.heard(message{Daemon: "entry-3", Incarnation: "1", AnsweredMS: map[suspect.Key]int64{7: 200}}, now)
+	told := hub.sums(now, false).without("entry-2")
+	told.Daemon, told.Totals = "entry-1", &totals{Daemons: 3}
+	follower.heardTotals(told, now)
+	if got := follower.digest(now).Breaks[7]; got != 0 {
+		t.Errorf("%d breaks are told of a request that was answered after them", got)
+	}
+}
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -71,6 +71,7 @@
 		work     map[string]int64
 		outcomes map[string]outcomes
 		breaks   map[suspect.Key]int
+		answered map[suspect.Key]time.Time
 		// followUntil is when the daemon no longer follows this one.
 		followUntil time.Time
 	}
