relay: the index of kept prompt parts is named by its usual term

No behaviour changes, but for the offset of the operators' stream, which can't go back when a page is older than what the hub has passed on.

--- a/decide/suspect/suspect.go
+++ b/decide/suspect/suspect.go
@@ -3,9 +3,9 @@
 // Such a request comes again with the same caller, path and body, at any daemon. All that a daemon
 // sees is that its attempts break off without an answer, as those of many innocent requests do when
 // an endpoint crashes or a connection is reset. So breaks are counted by request over all daemons,
-// an answer clears the count, also that of other daemons, and a request with MaxBreaks of them is quarantined. An innocent
-// one may get as many breaks while all endpoints are down, so that the first quarantine is short
-// and on trial after it: an answer ends the suspicion, a break quarantines for long.
+// an answer clears the count, also that of other daemons, and a request with MaxBreaks of them is
+// quarantined. An innocent one may get as many breaks while all endpoints are down, so that the first
+// quarantine is short and on trial after it: an answer ends the suspicion, a break quarantines for long.
 //
 // # Usage
 //
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -91,7 +91,8 @@
 		defer a.stall.Stop()
 	}
 	x.log("Sent.", "Endpoint", endpoint.ID, "DataCentre", endpoint.DataCentre, "Predicted", int(picked.Wait),
-		"Load", picked.Candidate.Load.Requests, "Cost", int(x.cost), "Uncached", picked.Uncached, "Fetched", picked.Fetched, "Source", picked.Source, "Reused", reused, "LastEvent", x.lastEvent)
+		"Load", picked.Candidate.Load.Requests, "Cost", int(x.cost), "Uncached", picked.Uncached,
+		"Fetched", picked.Fetched, "Source", picked.Source, "Reused", reused, "LastEvent", x.lastEvent)
 	// The connection is closed as soon as the caller leaves, which ends the work at the endpoint.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	result, keep, header := a.run()
--- a/entryd/relay/feed.go
+++ b/entryd/relay/feed.go
@@ -60,7 +60,7 @@
 func (f *feed) read(stream Stream, next int64, now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.own[stream], f.ownNext[stream] = now, next
+	f.own[stream], f.ownNext[stream] = now, max(f.ownNext[stream], next)
 	if stream == Operators {
 		f.behindSince = time.Time{}
 	}
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -184,7 +184,7 @@
 	}
 	g.greet(now)
 	digest := d.tables.digest(now)
-	digest.Digest, digest.Kept = true, d.tables.keptOwn()
+	digest.Digest, digest.Prefixes = true, d.tables.ownPrefixes()
 	g.sign(&digest)
 	for _, h := range d.members.hubs(now) {
 		if h.Name == d.settings.Name {
@@ -213,7 +213,7 @@
 // sendTotals tells the daemons that follow this one.
 func (g *gossip) sendTotals(now time.Time) {
 	d := g.daemon
-	kept := d.tables.keptNews()
+	prefixes := d.tables.prefixNews()
 	followers := d.tables.followers(now)
 	if len(followers) == 0 {
 		return
@@ -228,7 +228,7 @@
 		}
 		m := sums.without(k.Name)
 		g.sign(&m)
-		m.Totals, m.Kept = &t, kept
+		m.Totals, m.Prefixes = &t, prefixes
 		g.send(m, k.Address)
 	}
 }
@@ -252,7 +252,7 @@
 }
 
 // sendFollowers sends a message to the daemons that follow this one, if there are any.
-func (g *gossip) sendFollowers(make func() message) {
+func (g *gossip) sendFollowers(build func() message) {
 	d := g.daemon
 	if g.conn.Load() == nil {
 		return
@@ -262,7 +262,7 @@
 	if len(followers) == 0 {
 		return
 	}
-	m := make()
+	m := build()
 	g.sign(&m)
 	for _, k := range d.members.heardSince(now.Add(-followLasts)) {
 		if followers[k.Name] {
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -56,9 +56,9 @@
 		OperatorsNext int64    `cbor:"29,keyasint,omitempty"`
 		// Work is the engine time of what the sender has placed, in milliseconds by service.
 		Work map[string]int64 `cbor:"16,keyasint,omitempty"`
-		// Kept are parts of prompts that were sent to engines lately: by the sender in a digest, by
+		// Prefixes are parts of prompts that were sent to engines lately: by the sender in a digest, by
 		// all daemons in totals.
-		Kept keptParts `cbor:"26,keyasint,omitempty"`
+		Prefixes prefixParts `cbor:"26,keyasint,omitempty"`
 	}
 
 	// outcomes are the answers of the new version in a roll-out that a daemon has got.
--- a/entryd/relay/kept.go
+++ b/entryd/relay/prefixes.go
@@ -8,18 +8,18 @@
 )
 
 type (
-	// kept is which engines keep which parts of prompts, as far as this daemon has placed them there
+	// prefixes are which engines keep which parts of prompts, as far as this daemon has placed them there
 	// or has been told. It belongs to the tables.
-	kept struct {
+	prefixes struct {
 		lasts time.Duration
-		until map[keptKey]time.Time
+		until map[prefixKey]time.Time
 		// own are the parts that this daemon has placed since it told the hubs, and news those that any
 		// daemon has placed since this one told its followers.
-		own, news keptParts
+		own, news prefixParts
 	}
 
-	// keptKey is a part of prompts at an engine, by short identifiers.
-	keptKey struct {
+	// prefixKey is a part of prompts at an engine, by short identifiers.
+	prefixKey struct {
 		endpoint, part uint32
 	}
 
@@ -29,31 +29,31 @@
 		tokens int
 	}
 
-	// keptParts are parts by engine, as messages tell them.
-	keptParts map[uint32][]uint32
+	// prefixParts are parts by engine, as messages tell them.
+	prefixParts map[uint32][]uint32
 )
 
 const (
-	// maxKept bounds the remembered parts.
-	maxKept = 40000
-	// maxKeptTold bounds the parts in one message, so that its size does not grow with the load. What
+	// maxPrefixes bounds the remembered parts.
+	maxPrefixes = 40000
+	// maxPrefixesTold bounds the parts in one message, so that its size does not grow with the load. What
 	// is left out is not told: the parts are then read again somewhere.
-	maxKeptTold = 200
+	maxPrefixesTold = 200
 	// tellAgainPart of the time for which a part counts as kept must have passed before it is told
 	// again for the same engine.
 	tellAgainPart = 0.5
 )
 
-func newKept(lasts time.Duration) *kept {
-	return &kept{lasts: lasts, until: map[keptKey]time.Time{}, own: keptParts{}, news: keptParts{}}
+func newPrefixes(lasts time.Duration) *prefixes {
+	return &prefixes{lasts: lasts, until: map[prefixKey]time.Time{}, own: prefixParts{}, news: prefixParts{}}
 }
 
 // place notes that a prompt is sent to an engine. The last part belongs to one request only and is not
 // told.
-func (k *kept) place(endpoint string, parts []choice.Part, now time.Time) {
+func (k *prefixes) place(endpoint string, parts []choice.Part, now time.Time) {
 	id := shortID(endpoint)
 	for i, p := range parts {
-		key := keptKey{id, shortID(p.ID)}
+		key := prefixKey{id, shortID(p.ID)}
 		left := k.until[key].Sub(now)
 		k.until[key] = now.Add(k.lasts)
 		if i < len(parts)-1 && float64(left) < (1-tellAgainPart)*float64(k.lasts) {
@@ -64,10 +64,10 @@
 }
 
 // heard takes in what another daemon has told. A hub tells it to its followers.
-func (k *kept) heard(parts keptParts, now time.Time) {
+func (k *prefixes) heard(parts prefixParts, now time.Time) {
 	for endpoint, list := range parts {
 		for _, part := range list {
-			key := keptKey{endpoint, part}
+			key := prefixKey{endpoint, part}
 			k.until[key] = now.Add(k.lasts)
 			k.news.add(key)
 		}
@@ -84,10 +84,10 @@
 }
 
 // tokens returns how many leading prompt tokens an engine keeps.
-func (k *kept) tokens(endpoint uint32, parts []shortPart, now time.Time) int {
+func (k *prefixes) tokens(endpoint uint32, parts []shortPart, now time.Time) int {
 	tokens := 0
 	for _, p := range parts {
-		if !now.Before(k.until[keptKey{endpoint, p.id}]) {
+		if !now.Before(k.until[prefixKey{endpoint, p.id}]) {
 			break
 		}
 		tokens += p.tokens
@@ -96,36 +96,36 @@
 }
 
 // drop forgets what an engine kept that is gone or has started again.
-func (k *kept) drop(endpoint string) {
+func (k *prefixes) drop(endpoint string) {
 	id := shortID(endpoint)
-	maps.DeleteFunc(k.until, func(key keptKey, _ time.Time) bool { return key.endpoint == id })
+	maps.DeleteFunc(k.until, func(key prefixKey, _ time.Time) bool { return key.endpoint == id })
 }
 
 // takeOwn and takeNews return what is to be told, and start anew.
-func (k *kept) takeOwn() keptParts  { return take(&k.own) }
-func (k *kept) takeNews() keptParts { return take(&k.news) }
+func (k *prefixes) takeOwn() prefixParts  { return take(&k.own) }
+func (k *prefixes) takeNews() prefixParts { return take(&k.news) }
 
-func take(parts *keptParts) keptParts {
+func take(parts *prefixParts) prefixParts {
 	taken := *parts
-	*parts = keptParts{}
+	*parts = prefixParts{}
 	return taken
 }
 
 // forget drops what no longer counts once there is too much.
-func (k *kept) forget(now time.Time) {
-	if len(k.until) > maxKept {
-		maps.DeleteFunc(k.until, func(_ keptKey, until time.Time) bool { return now.After(until) })
+func (k *prefixes) forget(now time.Time) {
+	if len(k.until) > maxPrefixes {
+		maps.DeleteFunc(k.until, func(_ prefixKey, until time.Time) bool { return now.After(until) })
 	}
 }
 
 // add adds a part unless there are enough.
-func (p keptParts) add(key keptKey) {
-	if p.count() < maxKeptTold {
+func (p prefixParts) add(key prefixKey) {
+	if p.count() < maxPrefixesTold {
 		p[key.endpoint] = append(p[key.endpoint], key.part)
 	}
 }
 
-func (p keptParts) count() int {
+func (p prefixParts) count() int {
 	count := 0
 	for _, list := range p {
 		count += len(list)
--- a/entryd/relay/kept_test.go
+++ b/entryd/relay/prefixes_test.go
@@ -18,7 +18,7 @@
 // its shared parts are read again at other engines.
 func TestPromptsAreTold(t *testing.T) {
 	now := time.Unix(1000, 0)
-	one, other := newKept(9*time.Second), newKept(9*time.Second)
+	one, other := newPrefixes(9*time.Second), newPrefixes(9*time.Second)
 	one.place("engine-1", promptOf("session-1", "request-1"), now)
 	other.heard(one.takeOwn(), now)
 	next := shortParts(promptOf("session-1", "request-2"))
@@ -47,17 +47,17 @@
 // TestToldPromptsAreBounded guards against messages and tables that grow with the load.
 func TestToldPromptsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
-	k := newKept(9 * time.Second)
-	for i := range 3 * maxKept {
+	k := newPrefixes(9 * time.Second)
+	for i := range 3 * maxPrefixes {
 		k.place("engine-1", promptOf(fmt.Sprint("session-", i), fmt.Sprint("request-", i)), now)
 		now = now.Add(time.Millisecond)
 		k.forget(now)
 	}
-	if got := k.takeOwn().count(); got > maxKeptTold {
+	if got := k.takeOwn().count(); got > maxPrefixesTold {
 		t.Errorf("%d parts are told at once", got)
 	}
 	// Parts that still count stay: at 2,000 new ones a second that is 18,000.
-	if got := len(k.until); got > maxKept+1 {
+	if got := len(k.until); got > maxPrefixes+1 {
 		t.Errorf("%d parts are remembered", got)
 	}
 }
@@ -79,10 +79,10 @@
 		endpoint := setup.Endpoint{ID: id, Service: "pool", Address: "127.0.0.1:" + fmt.Sprint(i+1), DataCentre: "a", Slots: 64, State: setup.Ready}
 		tables.put(Record{Key: id, Offset: int64(i + 1)}, endpoint, now)
 	}
-	other := newKept(9 * time.Second)
+	other := newPrefixes(9 * time.Second)
 	other.place("engine-1", promptOf("session-1", "request-1"), now)
 	tables.heard(message{
-		Daemon: "entry-2", Incarnation: "1", Kept: other.takeOwn(),
+		Daemon: "entry-2", Incarnation: "1", Prefixes: other.takeOwn(),
 		Loads: map[uint32]load{shortID("engine-1"): {Requests: 9, Reading: 30000}},
 	}, now)
 	call := Call{PromptTokens: 9000, Parts: promptOf("session-1", "request-2")}
--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -67,7 +67,7 @@
 	p.heardAt, p.incarnation, p.loads, p.used, p.work = now, m.Incarnation, m.Loads, m.Used, m.Work
 	p.outcomes, p.breaks, p.answered = m.Outcomes, m.Breaks, m.answered(now)
 	t.hearSuspects(m, now)
-	t.prompts.heard(m.Kept, now)
+	t.prefixes.heard(m.Prefixes, now)
 	t.peers[m.Daemon] = p
 	counts := make(map[int64]usage.Counts, len(m.Counts))
 	for window, c := range m.Counts {
@@ -123,7 +123,7 @@
 	}
 	t.hubLoads = peerLoads{heardAt: now, loads: m.Loads, outcomes: m.Outcomes, breaks: m.Breaks}
 	t.hearSuspects(m, now)
-	t.prompts.heard(m.Kept, now)
+	t.prefixes.heard(m.Prefixes, now)
 	t.quota.Update(quota.Heard{
 		Daemon: hubName, Incarnation: m.Daemon + m.Incarnation, Used: amounts(m.Used), Recent: amounts(m.Recent),
 		Daemons: max(m.Totals.Daemons-1, 1), Silent: m.Totals.Silent, Now: now,
@@ -178,18 +178,18 @@
 	return maps.Values(t.peers)
 }
 
-// keptOwn returns the parts of prompts that this daemon has placed since it was asked last.
-func (t *tables) keptOwn() keptParts {
+// ownPrefixes returns the parts of prompts that this daemon has placed since it was asked last.
+func (t *tables) ownPrefixes() prefixParts {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.prompts.takeOwn()
+	return t.prefixes.takeOwn()
 }
 
-// keptNews returns the parts that all daemons have placed since it was asked last.
-func (t *tables) keptNews() keptParts {
+// prefixNews returns the parts that all daemons have placed since it was asked last.
+func (t *tables) prefixNews() prefixParts {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.prompts.takeNews()
+	return t.prefixes.takeNews()
 }
 
 // followers returns the daemons that asked for totals lately.
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -51,8 +51,8 @@
 		list  []setup.Endpoint
 		hash  uint64
 		stale bool
-		// prompts are the parts of prompts that engines keep.
-		prompts  *kept
+		// prefixes are the parts of prompts that engines keep.
+		prefixes *prefixes
 		rollouts map[string]*rollout
 		suspects *suspect.State
 		// misdirected holds endpoints whose address answered for another endpoint.
@@ -116,7 +116,7 @@
 		usage: usage.New(s.Name, incarnation, window),
 		own:   map[string]choice.Load{}, peers: map[string]peerLoads{},
 		pastUsed: map[string]int64{}, work: map[string]float64{}, placed: map[string]float64{},
-		prompts:     newKept(s.Bounds.CacheReuse),
+		prefixes:    newPrefixes(s.Bounds.CacheReuse),
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, suspects: suspect.New(),
 	}
 }
@@ -205,7 +205,7 @@
 	changes := t.update(roster.Elapsed{Now: now})
 	t.refresh(now)
 	t.health, _ = t.health.Update(health.Tick{Time: now})
-	t.prompts.forget(now)
+	t.prefixes.forget(now)
 	return changes
 }
 
@@ -219,7 +219,7 @@
 			delete(t.raw[Endpoints], c.Endpoint.ID)
 		}
 		if c.Reason == roster.Gone || c.Reason == roster.Restarted {
-			t.prompts.drop(c.Endpoint.ID)
+			t.prefixes.drop(c.Endpoint.ID)
 		}
 	}
 	t.stale = t.stale || len(changes) > 0
@@ -335,7 +335,7 @@
 		standing := t.health.Standing(e.ID)
 		c := choice.Candidate{
 			ID: e.ID, Version: e.Version, DataCentre: e.DataCentre, Slots: e.Slots, Memory: memory,
-			Load: t.load(e.ID, heard), Cached: t.prompts.tokens(shortID(e.ID), parts, now),
+			Load: t.load(e.ID, heard), Cached: t.prefixes.tokens(shortID(e.ID), parts, now),
 			Local: e.DataCentre == t.centre, Penalty: float64(standing.Penalty.Milliseconds()),
 		}
 		switch {
@@ -398,7 +398,7 @@
 			// A request that is sent again brings no further demand.
 			t.work[w.service] += workOf(request, picked.Uncached, endpoint.Slots)
 		}
-		t.prompts.place(endpoint.ID, w.call.Parts, now)
+		t.prefixes.place(endpoint.ID, w.call.Parts, now)
 	}
 	t.own[endpoint.ID] = t.own[endpoint.ID].Plus(p.load)
 	t.health, _ = t.health.Update(health.Sent{Time: now, Instance: endpoint.ID})
