--- a/lsbench/engine.go
+++ b/lsbench/engine.go
@@ -34,10 +34,10 @@
 		unread         int
 		generated      int
 		// source is an engine that may keep the shared parts, nil for none.
-		source *engine
-		// read sums up the prompt tokens that engines have read.
-		read            *int
+		source          *engine
 		onFirst, onDone func()
+		// onRead, if set, gets the prompt tokens that the engine will read.
+		onRead func(tokens int)
 	}
 
 	keptSession struct {
@@ -110,7 +110,9 @@
 		}
 		e.queue = e.queue[1:]
 		j.unread = max(j.prompt-e.found(j), 1)
-		*j.read += j.unread
+		if j.onRead != nil {
+			j.onRead(j.unread)
+		}
 		e.used += need
 		e.running = append(e.running, j)
 	}
--- a/lsbench/replay.go
+++ b/lsbench/replay.go
@@ -250,7 +250,7 @@
 	placed := choice.Load{Requests: 1, Reading: float64(picked.Uncached), Memory: float64(request.Prompt + request.Answer)}
 	m.count(d, e.id, placed)
 	e.send(&job{
-		source: m.engines[picked.Source], read: &m.results[i].read,
+		source: m.engines[picked.Source], onRead: func(tokens int) { m.results[i].read += tokens },
 		session: a.Session, prompt: a.Prompt, shared: a.Shared, answer: request.Answer, rank: a.Rank,
 		onFirst: func() {
 			m.count(d, e.id, choice.Load{Reading: -placed.Reading})
