relay: parts of prompts that are to be told are counted as they are added

The ages of answers to suspects were computed twice for a digest. A local name hid the order of hubs. No behaviour changes; the tests' count of parts moves to the test file.

--- a/entryd/relay/members.go
+++ b/entryd/relay/members.go
@@ -98,9 +98,9 @@
 func (m *members) setOwn(holds bool, readAt time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	before := m.self
+	last := m.self
 	m.self.holds, m.self.readAt = holds, readAt
-	m.self.keepSight(before, m.sightedFor())
+	m.self.keepSight(last, m.sightedFor())
 }
 
 // own returns this daemon's entry.
--- a/entryd/relay/prefixes.go
+++ b/entryd/relay/prefixes.go
@@ -15,7 +15,7 @@
 		until map[prefixKey]time.Time
 		// own are the parts that this daemon has placed since it told the hubs, and news those that any
 		// daemon has placed since this one told its followers.
-		own, news prefixParts
+		own, news untold
 	}
 
 	// prefixKey is a part of prompts at an engine, by short identifiers.
@@ -31,6 +31,13 @@
 
 	// prefixParts are parts by engine, as messages tell them.
 	prefixParts map[uint32][]uint32
+
+	// untold are parts for the next message. Their number is kept, since parts are added with the
+	// tables locked.
+	untold struct {
+		parts prefixParts
+		count int
+	}
 )
 
 const (
@@ -45,7 +52,7 @@
 )
 
 func newPrefixes(lasts time.Duration) *prefixes {
-	return &prefixes{lasts: lasts, until: map[prefixKey]time.Time{}, own: prefixParts{}, news: prefixParts{}}
+	return &prefixes{lasts: lasts, until: map[prefixKey]time.Time{}}
 }
 
 // place notes that a prompt is sent to an engine. The last part belongs to one request only and is not
@@ -102,33 +109,30 @@
 }
 
 // takeOwn and takeNews return what is to be told, and start anew.
-func (k *prefixes) takeOwn() prefixParts  { return take(&k.own) }
-func (k *prefixes) takeNews() prefixParts { return take(&k.news) }
+func (k *prefixes) takeOwn() prefixParts  { return k.own.take() }
+func (k *prefixes) takeNews() prefixParts { return k.news.take() }
 
-func take(parts *prefixParts) prefixParts {
-	taken := *parts
-	*parts = prefixParts{}
+func (u *untold) take() prefixParts {
+	taken := u.parts
+	*u = untold{}
 	return taken
 }
 
-// forget drops what no longer counts once there is too much.
-func (k *prefixes) forget(now time.Time) {
-	if len(k.until) > maxPrefixes {
-		maps.DeleteFunc(k.until, func(_ prefixKey, until time.Time) bool { return now.After(until) })
-	}
-}
-
 // add adds a part unless there are enough.
-func (p prefixParts) add(key prefixKey) {
-	if p.count() < maxPrefixesTold {
-		p[key.endpoint] = append(p[key.endpoint], key.part)
+func (u *untold) add(key prefixKey) {
+	if u.count >= maxPrefixesTold {
+		return
 	}
+	if u.parts == nil {
+		u.parts = prefixParts{}
+	}
+	u.parts[key.endpoint] = append(u.parts[key.endpoint], key.part)
+	u.count++
 }
 
-func (p prefixParts) count() int {
-	count := 0
-	for _, list := range p {
-		count += len(list)
+// forget drops what no longer counts once there is too much.
+func (k *prefixes) forget(now time.Time) {
+	if len(k.until) > maxPrefixes {
+		maps.DeleteFunc(k.until, func(_ prefixKey, until time.Time) bool { return now.After(until) })
 	}
-	return count
 }
--- a/entryd/relay/prefixes_test.go
+++ b/entryd/relay/prefixes_test.go
@@ -14,6 +14,14 @@
 	return []choice.Part{{ID: "common", Tokens: 2500}, {ID: session, Tokens: 3800}, {ID: request, Tokens: 2700}}
 }
 
+func (p prefixParts) count() int {
+	count := 0
+	for _, list := range p {
+		count += len(list)
+	}
+	return count
+}
+
 // TestPromptsAreTold guards against daemons that don't know where the others have sent a session, so that
 // its shared parts are read again at other engines.
 func TestPromptsAreTold(t *testing.T) {
--- a/entryd/relay/quarantine.go
+++ b/entryd/relay/quarantine.go
@@ -53,22 +53,16 @@
 	}
 }
 
-// hearSuspects takes in what other daemons keep out, and which suspects they have had answers to. The
-// tables are locked.
-func (t *tables) hearSuspects(m message, now time.Time) {
+// hearSuspects takes in what other daemons keep out, and which suspects they have had answers to. It
+// returns the times of these answers. The tables are locked.
+func (t *tables) hearSuspects(m message, now time.Time) map[suspect.Key]time.Time {
 	for key, strikes := range m.Quarantined {
 		t.suspects.Quarantine(key, strikes, now)
 	}
-	for key, at := range m.answered(now) {
-		t.suspects.HeardAnswer(key, at)
-	}
-}
-
-// answered returns when the sender, or those it tells of, had answers to suspects.
-func (m message) answered(now time.Time) map[suspect.Key]time.Time {
 	answered := make(map[suspect.Key]time.Time, len(m.AnsweredMS))
 	for key, age := range m.AnsweredMS {
 		answered[key] = now.Add(-time.Duration(age) * time.Millisecond)
+		t.suspects.HeardAnswer(key, answered[key])
 	}
 	return answered
 }
--- a/entryd/relay/sums.go
+++ b/entryd/relay/sums.go
@@ -65,8 +65,7 @@
 		p.addWork(t.placed, m.Work)
 	}
 	p.heardAt, p.incarnation, p.loads, p.used, p.work = now, m.Incarnation, m.Loads, m.Used, m.Work
-	p.outcomes, p.breaks, p.answered = m.Outcomes, m.Breaks, m.answered(now)
-	t.hearSuspects(m, now)
+	p.outcomes, p.breaks, p.answered = m.Outcomes, m.Breaks, t.hearSuspects(m, now)
 	t.prefixes.heard(m.Prefixes, now)
 	t.peers[m.Daemon] = p
 	counts := make(map[int64]usage.Counts, len(m.Counts))
