entry, config: check a request's permit by the table in force when it acts

Places with the same pattern (look up, wait, act): - model request: key, then route, then lease, then the wait for admission - plain call: key, then route and lease, then each attempt after its backoff - unrepeatable call: the wait for the shard's daemon before the local run, and the daemon that runs a forwarded call, which knew only the account's name - events of a request: key, then a lookup at other daemons

Key, route and lease are looked up in one state; the permit is checked again after the admission, before each attempt, before the claim and before the send. A call forwards the hash of its key, so that the daemon that runs it compares it with its own table.

--- a/entryd/entry/calls.go
+++ b/entryd/entry/calls.go
@@ -6,6 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"lentilstage.dev/decide/config"
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/domain/event"
 	"lentilstage.dev/domain/ident"
@@ -51,15 +52,14 @@
 	})
 }
 
-// waitForPlainEndpoint returns a ready endpoint of a plain route. It waits up to
-// plainEndpointTimeout, because a call that is abandoned has used up its key.
-func (d *Daemon) waitForPlainEndpoint(name string) (address, version string, fenced, ok bool) {
+// waitForPlainEndpoint returns a ready endpoint of a call's route if the call may be sent by this
+// daemon's table. It waits up to plainEndpointTimeout, because a call that is abandoned has used up
+// its key.
+func (d *Daemon) waitForPlainEndpoint(request wire.CallRequest) (address, version string, fenced, ok bool) {
 	deadline := d.base.Now().Add(plainEndpointTimeout)
 	for {
-		state := d.control.State()
-		row, known := state.Routes[name]
-		if known && row.Kind == table.Plain {
-			chosen, ok := d.endpoints.choosePlain(state, row, value.NewSet[string]())
+		if state, refusal := d.control.permittedState(permitOf(request)); refusal == nil {
+			chosen, ok := d.endpoints.choosePlain(state, state.Routes[request.Route], value.NewSet[string]())
 			if ok {
 				return chosen.Instance.Address, chosen.Version, chosen.Fenced, true
 			}
@@ -89,10 +89,13 @@
 // callOnce runs an unrepeatable call at the daemon responsible for the key's shard, so that most
 // daemons need not read that shard. If that daemon does not answer, the call runs locally; the
 // order of the log prevents a second run.
-func (d *Daemon) callOnce(request wire.CallRequest) wire.CallReply {
+func (d *Daemon) callOnce(request wire.CallRequest, permit config.Permit) wire.CallReply {
 	if request.Key == "" {
 		return refusalReply(codes.Refuse(codes.KeyMissing, "a call on route %s needs an Idempotency-Key", request.Route))
 	}
+	if refusal := d.control.checkPermit(permit); refusal != nil {
+		return refusalReply(refusal.WithOutcomeUnknown())
+	}
 	if name := d.shardDaemon(request); name != d.base.Settings.Name {
 		if address, ok := d.members.peerAddress(name); ok {
 			var reply wire.CallReply
@@ -117,6 +120,11 @@
 	return d.runCall(request), nil
 }
 
+// permitOf returns the permit of an unrepeatable call, which is compared with this daemon's table.
+func permitOf(request wire.CallRequest) config.Permit {
+	return config.NewPermit(request.KeyHash, request.Account, request.Route, table.Plain)
+}
+
 // runCall runs an unrepeatable call on this daemon.
 func (d *Daemon) runCall(request wire.CallRequest) wire.CallReply {
 	if refusal := d.checkKeyWindow(); refusal != nil {
--- a/entryd/entry/claims.go
+++ b/entryd/entry/claims.go
@@ -39,8 +39,8 @@
 		ReadLog func(ctx context.Context, stream string, from int64) (wire.LogPage, error)
 		// AppendLog appends records in one batch and returns the offset of the first.
 		AppendLog func(ctx context.Context, stream string, records []wire.LogPayload) (int64, error)
-		// Endpoint returns a ready endpoint of the route.
-		Endpoint func(route string) (address, version string, fenced, ok bool)
+		// Endpoint returns a ready endpoint of the call's route, if the call may be sent now.
+		Endpoint func(request wire.CallRequest) (address, version string, fenced, ok bool)
 		// ForwardCall sends a call to the daemon with the given incarnation.
 		ForwardCall func(ctx context.Context, incarnation string, request wire.CallRequest) (wire.CallReply, error)
 		Now         func() time.Time
@@ -432,7 +432,7 @@
 	case claim.AppendRecord:
 		c.enqueue(s, a, m)
 	case claim.ChooseEndpoint:
-		address, version, fenced, ok := c.Endpoint(a.request.Route)
+		address, version, fenced, ok := c.Endpoint(a.request)
 		if !ok {
 			c.update(s, a, claim.NoEndpoint{Now: c.Now()})
 			return
--- a/entryd/entry/control.go
+++ b/entryd/entry/control.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"lentilstage.dev/decide/config"
+	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/domain/event"
 	"lentilstage.dev/domain/ident"
 	"lentilstage.dev/domain/table"
@@ -247,6 +248,54 @@
 	return c.state.Serving(now)
 }
 
+// authenticate returns a permit for the account of a key, or a refusal.
+func (c *control) authenticate(keyHash string) (config.Permit, *codes.Refusal) {
+	now := c.base.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Authenticate(now, keyHash)
+}
+
+// authorize returns the permit for a route of a kind and the route, or a refusal. The key, the route
+// and the serving lease are checked against one state of the table.
+func (c *control) authorize(permit config.Permit, route string, kind table.Kind) (config.Permit, table.Route, *codes.Refusal) {
+	now := c.base.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Authorize(now, permit, route, kind)
+}
+
+// checkPermit returns a refusal if this daemon may not act on a permit now, or nil.
+func (c *control) checkPermit(permit config.Permit) *codes.Refusal {
+	now := c.base.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.CheckPermit(now, permit)
+}
+
+// permittedState returns the table state by which this daemon may act on a permit now, or a refusal.
+func (c *control) permittedState(permit config.Permit) (table.State, *codes.Refusal) {
+	now := c.base.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.TableState(), c.state.CheckPermit(now, permit)
+}
+
+// checkKey returns a refusal if a permit's key no longer belongs to its account, or nil.
+func (c *control) checkKey(permit config.Permit) *codes.Refusal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.CheckKey(permit)
+}
+
+// checkServing returns a refusal if this daemon may not serve with its table, or nil.
+func (c *control) checkServing() *codes.Refusal {
+	now := c.base.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.CheckServing(now)
+}
+
 // reportServing logs and emits an event when the daemon starts or stops serving.
 func (c *control) reportServing() {
 	serving, reason := c.Serving()
--- a/entryd/entry/daemon.go
+++ b/entryd/entry/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/samber/do/v2"
 	"golang.org/x/sync/errgroup"
 
+	"lentilstage.dev/decide/config"
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/wire/wire"
 )
@@ -251,17 +252,7 @@
 	if d.draining.Load() {
 		return codes.Refuse(codes.Draining, "daemon %s is shutting down", d.base.Settings.Name).WithRetryAt(soon)
 	}
-	return d.checkTableCurrent()
-}
-
-// checkTableCurrent returns a refusal if the table is not known to be current, or nil.
-func (d *Daemon) checkTableCurrent() *codes.Refusal {
-	serving, reason := d.control.Serving()
-	if serving {
-		return nil
-	}
-	return codes.Refuse(codes.ConfigUnknown, "daemon %s does not know its table to be current: %s", d.base.Settings.Name, reason).
-		WithRetryAt(d.base.Now().Add(retryDelay))
+	return d.control.checkServing()
 }
 
 // checkHolderAvailable returns a refusal if no other daemon can hold a copy of a model request, or
@@ -275,9 +266,9 @@
 }
 
 // call runs a plain call.
-func (d *Daemon) call(call wire.CallRequest, repeatable bool) wire.CallReply {
+func (d *Daemon) call(call wire.CallRequest, permit config.Permit, repeatable bool) wire.CallReply {
 	if repeatable {
-		return d.callRepeatable(call)
+		return d.callRepeatable(call, permit)
 	}
-	return d.callOnce(call)
+	return d.callOnce(call, permit)
 }
--- a/entryd/entry/plain.go
+++ b/entryd/entry/plain.go
@@ -6,6 +6,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"lentilstage.dev/decide/config"
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/decide/retry"
 	"lentilstage.dev/domain/codes"
@@ -22,11 +23,11 @@
 	s.daemon.connections.Add(1)
 	defer s.daemon.connections.Add(-1)
 	s.base.Counters.calls.Inc(1)
-	call, route, refusal := s.readCall(c)
+	call, permit, route, refusal := s.readCall(c)
 	if refusal != nil {
 		return untriedRefusal(refusal, c)
 	}
-	reply := s.daemon.call(call, route.Repeatable || isSafe(call.Method))
+	reply := s.daemon.call(call, permit, route.Repeatable || isSafe(call.Method))
 	if reply.Code != 0 {
 		return replyRefusal(reply, s.base.Now())
 	}
@@ -38,25 +39,25 @@
 }
 
 // readCall parses a plain call and checks whether it may run.
-func (s *server) readCall(c *fiber.Ctx) (wire.CallRequest, table.Route, *codes.Refusal) {
-	account := c.Locals(localAccount).(table.Account)
+func (s *server) readCall(c *fiber.Ctx) (wire.CallRequest, config.Permit, table.Route, *codes.Refusal) {
+	permit := c.Locals(localPermit).(config.Permit)
 	call := wire.CallRequest{
-		Account: account.Name, Key: c.Get(wire.HeaderIdempotencyKey),
+		Account: permit.Account, KeyHash: permit.KeyHash, Key: c.Get(wire.HeaderIdempotencyKey),
 		Method: c.Method(), Path: "/" + c.Params("*"), Body: append([]byte(nil), c.Body()...),
 	}
 	if query := string(c.Request().URI().QueryString()); query != "" {
 		call.Path += "?" + query
 	}
 	if refusal := s.daemon.checkAccepting(); refusal != nil {
-		return call, table.Route{}, refusal
+		return call, permit, table.Route{}, refusal
 	}
-	route, refusal := routeOf(s.daemon.control.State(), account, c.Params("route"), table.Plain)
+	permit, route, refusal := s.daemon.control.authorize(permit, c.Params("route"), table.Plain)
 	if refusal != nil {
-		return call, route, refusal
+		return call, permit, route, refusal
 	}
 	call.Route = route.Name
 	call.Deadline, refusal = s.deadline(c, defaultCallTimeout, maxCallTimeout)
-	return call, route, refusal
+	return call, permit, route, refusal
 }
 
 // untriedRefusal returns the refusal of a call that was not attempted. If the call has an
@@ -92,11 +93,18 @@
 
 // callRepeatable sends a repeatable call. After a failure it retries at another endpoint as far as
 // the retry budget allows.
-func (d *Daemon) callRepeatable(call wire.CallRequest) wire.CallReply {
+func (d *Daemon) callRepeatable(call wire.CallRequest, permit config.Permit) wire.CallReply {
 	return callRetrier{
-		choose: func(tried value.Set[string]) (target, bool) {
-			state := d.control.State()
-			return d.endpoints.choosePlain(state, state.Routes[call.Route], tried)
+		choose: func(tried value.Set[string]) (target, *codes.Refusal) {
+			state, refusal := d.control.permittedState(permit)
+			if refusal != nil {
+				return target{}, refusal
+			}
+			chosen, ok := d.endpoints.choosePlain(state, state.Routes[call.Route], tried)
+			if !ok {
+				refusal = codes.Refuse(codes.NoEndpoint, "no endpoint of route %s is ready", call.Route)
+			}
+			return chosen, refusal
 		},
 		send: d.sendCall,
 		onFailure: func(chosen target, err error) {
@@ -115,7 +123,9 @@
 
 // callRetrier runs a repeatable call through the functions that it is given.
 type callRetrier struct {
-	choose       func(tried value.Set[string]) (target, bool)
+	// choose returns the endpoint of the next attempt, or a refusal if there is none or the call may
+	// no longer be sent.
+	choose       func(tried value.Set[string]) (target, *codes.Refusal)
 	send         func(call wire.CallRequest, chosen target) (wire.CallReply, error)
 	onFailure    func(chosen target, err error)
 	countRequest func(account string)
@@ -131,9 +141,8 @@
 	r.countRequest(call.Account)
 	tried, sent := value.NewSet[string](), false
 	for number := 1; ; number++ {
-		chosen, ok := r.choose(tried)
-		if !ok {
-			refusal := codes.Refuse(codes.NoEndpoint, "no endpoint of route %s is ready", call.Route)
+		chosen, refusal := r.choose(tried)
+		if refusal != nil {
 			if sent {
 				refusal = refusal.WithOutcomeUnknown()
 			}
@@ -182,12 +191,3 @@
 		Code: int(refusal.Code), Message: refusal.Message, Unknown: !refusal.NotRun,
 	}
 }
-
-// routeOf returns the route of a kind with the name if the account may use it, or a refusal.
-func routeOf(state table.State, account table.Account, name string, kind table.Kind) (table.Route, *codes.Refusal) {
-	route, ok := state.Routes[name]
-	if !ok || route.Kind != kind || !route.Allows(account.Name) {
-		return table.Route{}, codes.Refuse(codes.RouteUnknown, "account %s has no %s route %q", account.Name, kind, name)
-	}
-	return route, nil
-}
--- a/entryd/entry/plain_test.go
+++ b/entryd/entry/plain_test.go
@@ -24,12 +24,12 @@
 	budget := retry.New(settings)
 	choices := 0
 	return callRetrier{
-		choose: func(value.Set[string]) (target, bool) {
+		choose: func(value.Set[string]) (target, *codes.Refusal) {
 			if choices == len(addresses) {
-				return target{}, false
+				return target{}, codes.Refuse(codes.NoEndpoint, "no endpoint is left")
 			}
 			choices++
-			return target{Instance: wire.Instance{ID: addresses[choices-1], Address: addresses[choices-1]}}, true
+			return target{Instance: wire.Instance{ID: addresses[choices-1], Address: addresses[choices-1]}}, nil
 		},
 		send: func(call wire.CallRequest, chosen target) (wire.CallReply, error) {
 			status, body, err := client.CallPlain(call.Deadline, chosen.Instance.Address, call.Method, call.Path, nil, call.Body)
--- a/entryd/entry/requests.go
+++ b/entryd/entry/requests.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/samber/do/v2"
 
+	"lentilstage.dev/decide/config"
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/decide/hold"
 	"lentilstage.dev/decide/limit"
@@ -80,8 +81,8 @@
 }
 
 // open admits and starts a new request, or returns the existing one with the same identifier and
-// body.
-func (r *requests) open(record wire.HeldRequest, chat wire.ChatRequest, startBy time.Time) (*ownedRequest, *codes.Refusal) {
+// body. The permit is checked again after the request has waited for its admission.
+func (r *requests) open(permit config.Permit, record wire.HeldRequest, chat wire.ChatRequest, startBy time.Time) (*ownedRequest, *codes.Refusal) {
 	if existing, refusal := r.existing(record); existing != nil || refusal != nil {
 		return existing, refusal
 	}
@@ -97,6 +98,11 @@
 	if refusal != nil {
 		return nil, refusal
 	}
+	admitted := r.base.Now()
+	if refusal := r.control.checkPermit(permit); refusal != nil {
+		r.limits.ended(record.Account, admitted)
+		return nil, refusal
+	}
 	return r.startServing(record, chat)
 }
 
--- a/entryd/entry/server.go
+++ b/entryd/entry/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/gofiber/fiber/v2"
 
+	"lentilstage.dev/decide/config"
 	"lentilstage.dev/decide/hold"
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/domain/ident"
@@ -49,9 +50,9 @@
 	reconnectDelay = 50 * time.Millisecond
 	// retryDelay is the delay after which a refused caller may retry.
 	retryDelay = time.Second
-	// localAccount and localOperator are the keys of the authenticated identity in the request's
+	// localPermit and localOperator are the keys of the authenticated identity in the request's
 	// locals.
-	localAccount  = "account"
+	localPermit   = "permit"
 	localOperator = "operator"
 )
 
@@ -142,18 +143,13 @@
 	return c.Next()
 }
 
-// authenticateCaller finds the account of the caller's key. If the table is not known to be
-// current, an unknown key may belong to a new account, so the refusal is ConfigUnknown instead of
-// Unauthorized.
+// authenticateCaller finds the account of the caller's key.
 func (s *server) authenticateCaller(c *fiber.Ctx) error {
-	account, ok := s.daemon.control.State().AccountByKey(ident.HashSecret(bearer(c)))
-	if !ok {
-		if refusal := s.daemon.checkTableCurrent(); refusal != nil {
-			return untriedRefusal(refusal, c)
-		}
-		return untriedRefusal(codes.Refuse(codes.Unauthorized, "the key belongs to no account"), c)
+	permit, refusal := s.daemon.control.authenticate(ident.HashSecret(bearer(c)))
+	if refusal != nil {
+		return untriedRefusal(refusal, c)
 	}
-	c.Locals(localAccount, account)
+	c.Locals(localPermit, permit)
 	return c.Next()
 }
 
@@ -165,7 +161,6 @@
 // postChat handles a model request. It sends the answer as a stream, or in one message if the
 // caller did not ask for a stream.
 func (s *server) postChat(c *fiber.Ctx) error {
-	account := c.Locals(localAccount).(table.Account)
 	if refusal := s.daemon.checkAccepting(); refusal != nil {
 		return refusal
 	}
@@ -175,7 +170,7 @@
 		return codes.Refuse(codes.BadRequest, "%s", err.Error())
 	}
 	chat.Resume = nil
-	route, refusal := routeOf(s.daemon.control.State(), account, chat.Model, table.Model)
+	permit, route, refusal := s.daemon.control.authorize(c.Locals(localPermit).(config.Permit), chat.Model, table.Model)
 	if refusal != nil {
 		return refusal
 	}
@@ -194,14 +189,14 @@
 		return refusal
 	}
 	record := wire.HeldRequest{
-		RequestID: id, Account: account.Name, Route: route.Name,
-		Fingerprint: ident.Fingerprint(account.Name, body), Body: body,
+		RequestID: id, Account: permit.Account, Route: route.Name,
+		Fingerprint: ident.Fingerprint(permit.Account, body), Body: body,
 		Priority: priority, Deadline: deadline,
 	}
 	if superseded := c.Get(wire.HeaderSupersedes); superseded != "" {
-		s.daemon.supersede(account.Name, superseded)
+		s.daemon.supersede(permit.Account, superseded)
 	}
-	at, refusal := s.open(c, record, chat, deadline.Add(-time.Duration(route.FirstTokenMs)*time.Millisecond))
+	at, refusal := s.open(c, permit, record, chat, deadline.Add(-time.Duration(route.FirstTokenMs)*time.Millisecond))
 	if refusal != nil {
 		return refusal
 	}
@@ -213,7 +208,7 @@
 }
 
 // open finds a request that the caller has sent before, or opens a new one.
-func (s *server) open(c *fiber.Ctx, record wire.HeldRequest, chat wire.ChatRequest, startBy time.Time) (located, *codes.Refusal) {
+func (s *server) open(c *fiber.Ctx, permit config.Permit, record wire.HeldRequest, chat wire.ChatRequest, startBy time.Time) (located, *codes.Refusal) {
 	if c.Get(wire.HeaderRequestID) != "" {
 		at, refusal := s.daemon.locator.locate(record.Account, record.RequestID, hold.Position{})
 		if refusal == nil && at.ownedRequest != nil && at.ownedRequest.fingerprint != record.Fingerprint {
@@ -226,13 +221,13 @@
 	if refusal := s.daemon.checkHolderAvailable(); refusal != nil {
 		return located{}, refusal
 	}
-	opened, refusal := s.daemon.requests.open(record, chat, startBy)
+	opened, refusal := s.daemon.requests.open(permit, record, chat, startBy)
 	return located{ownedRequest: opened}, refusal
 }
 
 // getEvents sends the rest of a request's answer after a reconnect.
 func (s *server) getEvents(c *fiber.Ctx) error {
-	account := c.Locals(localAccount).(table.Account)
+	permit := c.Locals(localPermit).(config.Permit)
 	position, err := hold.ParseEventID(c.Get(wire.HeaderLastEventID))
 	if err != nil {
 		return codes.Refuse(codes.BadRequest, "Last-Event-ID %q is not an event of an answer", c.Get(wire.HeaderLastEventID))
@@ -244,11 +239,16 @@
 	if s.daemon.draining.Load() {
 		return s.daemon.checkAccepting()
 	}
-	at, refusal := s.daemon.locator.locate(account.Name, id, position)
+	at, refusal := s.daemon.locator.locate(permit.Account, id, position)
 	if refusal != nil {
 		return refusal
 	}
-	record := wire.HeldRequest{RequestID: id, Account: account.Name}
+	// The lookup may have waited for other daemons while the key was withdrawn. The serving lease is
+	// not required, since the request was accepted before.
+	if refusal := s.daemon.control.checkKey(permit); refusal != nil {
+		return refusal
+	}
+	record := wire.HeldRequest{RequestID: id, Account: permit.Account}
 	if at.ownedRequest != nil {
 		record = at.ownedRequest.record()
 	}
--- a/wire/wire/peer.go
+++ b/wire/wire/peer.go
@@ -158,7 +158,10 @@
 
 	// CallRequest forwards an unrepeatable call to the daemon that follows the call's shard.
 	CallRequest struct {
-		Account  string
+		Account string
+		// KeyHash is the hash of the caller's key. It is empty if the sending daemon's build does not
+		// forward it.
+		KeyHash  string
 		Route    string
 		Key      string
 		Path     string
