relay, limit, member, setup, table, crashes, lsbench: faults found by reading

- limit: the predicted wait used a fraction as a number of slots
- member: an entry lost all items after the first that did not fit (TestTrimmedEntryKeepsSmallItems)
- entry: crashes.latest was never pruned
- lsbench: every error of the capacity report was called "encode"

Without effect, left as they are: outbox.markDirty after a held batch flushes once with nothing new and then stops; retry.Budget answers each end of an attempt with one command, so that retries.next never uses its default.

--- a/decide/limit/allocation.go
+++ b/decide/limit/allocation.go
@@ -36,6 +36,8 @@
 	// minAllocationFraction is the fraction of an equal allocation that a daemon without demand
 	// keeps.
 	minAllocationFraction = 0.1
+	// minPredictedSlots bounds the predicted wait of an account whose limit is close to 0.
+	minPredictedSlots = 0.1
 	// fullWeightAge is the age up to which a demand counts fully: two digest periods.
 	fullWeightAge = 2 * time.Second
 	// decayHalfLife is the time in which an older demand, for instance of a disconnected region,
--- a/decide/limit/limit.go
+++ b/decide/limit/limit.go
@@ -426,7 +426,8 @@
 		if acc.row.MaxInFlight > 0 {
 			limit = min(limit, float64(acc.row.MaxInFlight))
 		}
-		allocation := max(limit*localDemand/(localDemand+acc.peersDemand), minAllocationFraction)
+		equal := limit / float64(len(a.peers)+1)
+		allocation := max(limit*localDemand/(localDemand+acc.peersDemand), minAllocationFraction*equal, minPredictedSlots)
 		seconds += float64(ahead+1) * acc.meanSeconds / allocation
 	}
 	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
--- a/decide/member/digest.go
+++ b/decide/member/digest.go
@@ -140,12 +140,13 @@
 // remaining budget.
 func largestThatFit[T any](items []T, budget int, size, weight func(T) int) ([]T, int) {
 	sorted := slices.SortedStableFunc(slices.Values(items), func(a, b T) int { return cmp.Compare(weight(b), weight(a)) })
-	for i, item := range sorted {
+	kept := slices.DeleteFunc(sorted, func(item T) bool {
 		cost := size(item)
 		if cost > budget {
-			return sorted[:i], budget
+			return true
 		}
 		budget -= cost
-	}
-	return sorted, budget
+		return false
+	})
+	return kept, budget
 }
--- a/decide/member/member_test.go
+++ b/decide/member/member_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -432,3 +433,14 @@
 	s := c.states[name]
 	return s.buildDigest(c.now)
 }
+
+// TestTrimmedEntryKeepsSmallItems guards against an entry that drops all items after the first one
+// that doesn't fit: a version with a long name would hide the evidence on all others.
+func TestTrimmedEntryKeepsSmallItems(t *testing.T) {
+	entry := wire.DigestEntry{Process: "entry-1", Evidence: []wire.Evidence{
+		{Move: "m", Version: strings.Repeat("v", 400), Requests: 100}, {Move: "m", Version: "short", Requests: 1},
+	}}
+	if got := trimEntry(entry, 200).Evidence; len(got) != 1 || got[0].Version != "short" {
+		t.Errorf("the trimmed entry has the evidence %+v, want that on the short name", got)
+	}
+}
--- a/domain/setup/setup.go
+++ b/domain/setup/setup.go
@@ -12,6 +12,7 @@
 package setup
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -134,8 +135,8 @@
 var ErrConfig = eris.New("invalid configuration")
 
 // New builds a configuration and its lookup indexes. It returns ErrConfig if the version is
-// below 1, a route has no service, a host has the same prefix twice, or two accounts share
-// a key.
+// below 1, a route has no service, a host has the same prefix twice, two services or two accounts
+// have the same name, or two accounts share a key.
 func New(version int64, routes []Route, services []Service, accounts []Account, limits Limits) (*Config, error) {
 	if version < 1 {
 		return nil, eris.Wrapf(ErrConfig, "version %d", version)
@@ -147,7 +148,11 @@
 		byHost:   map[string]map[string]int{},
 		byKey:    map[string]string{},
 	}
-	for _, s := range services {
+	for i, s := range services {
+		if _, duplicate := c.Services[s.Name]; duplicate {
+			first := slices.IndexFunc(services, func(o Service) bool { return o.Name == s.Name })
+			return nil, eris.Wrapf(ErrConfig, "services %d and %d are both named %s", first+1, i+1, s.Name)
+		}
 		c.Services[s.Name] = s
 	}
 	for i, r := range routes {
@@ -164,7 +169,11 @@
 		}
 		prefixes[r.Prefix] = i
 	}
-	for _, a := range accounts {
+	for i, a := range accounts {
+		if _, duplicate := c.Accounts[a.Name]; duplicate {
+			first := slices.IndexFunc(accounts, func(o Account) bool { return o.Name == a.Name })
+			return nil, eris.Wrapf(ErrConfig, "accounts %d and %d are both named %s", first+1, i+1, a.Name)
+		}
 		c.Accounts[a.Name] = a
 		for _, key := range a.Keys {
 			if owner, duplicate := c.byKey[key]; duplicate && owner != a.Name {
--- a/domain/table/check.go
+++ b/domain/table/check.go
@@ -81,6 +81,7 @@
 func (c *checker) checkAccounts(accounts []Account) {
 	const maxLimit = 1e9
 	var total float64
+	exceeded := false
 	owners := make(map[string]string)
 	for _, a := range accounts {
 		key := a.Key()
@@ -95,15 +96,17 @@
 			if raw, err := hex.DecodeString(hash); err != nil || len(raw) != 32 {
 				c.add(key, "KeyHashes", "%q is not a hex SHA-256 hash", hash)
 			}
-			if owner, exists := owners[hash]; exists && owner != a.Name {
+			owner, exists := owners[hash]
+			if !exists {
+				owners[hash] = a.Name
+			} else if owner != a.Name {
 				c.add(key, "KeyHashes", "account %s has the same key", owner)
 			}
-			owners[hash] = a.Name
 		}
 		total += a.Share
-		if total > 1+1e-9 {
+		if total > 1+1e-9 && !exceeded {
 			c.add(key, "Share", "the shares of all accounts add up to more than 1")
-			total = 0
+			exceeded = true
 		}
 	}
 }
--- a/entryd/entry/crashes.go
+++ b/entryd/entry/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -143,6 +144,7 @@
 func (c *crashes) crashID(instance string, now time.Time) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maps.DeleteFunc(c.latest, func(_ string, l latestCrash) bool { return now.After(l.deadline) })
 	latest := c.latest[instance]
 	if now.After(latest.deadline) {
 		latest = latestCrash{
--- a/entryd/relay/leader.go
+++ b/entryd/relay/leader.go
@@ -86,12 +86,9 @@
 }
 
 func (l *leader) run(ctx context.Context) error {
-	if !l.daemon.settings.ReportsUsage && !l.daemon.settings.OrdersEndpoints {
-		return nil
-	}
 	return every(ctx, leaderInterval, func() {
 		// Only a hub receives the counts of all daemons.
-		if l.daemon.draining.Load() || !l.daemon.tables.ready() || l.daemon.tables.followsOtherHub() {
+		if !l.hasDuties() || l.daemon.draining.Load() || !l.daemon.tables.ready() || l.daemon.tables.followsOtherHub() {
 			return
 		}
 		l.stepLease(ctx)
@@ -107,6 +104,11 @@
 	})
 }
 
+// hasDuties reports whether the platform or a roll-out needs a lease holder.
+func (l *leader) hasDuties() bool {
+	return l.daemon.settings.ReportsUsage || l.daemon.settings.OrdersEndpoints || l.daemon.tables.hasRollouts()
+}
+
 // stepLease reads, takes or renews the lease if that is due.
 func (l *leader) stepLease(ctx context.Context) {
 	l.mutex.Lock()
--- a/entryd/relay/prefixes.go
+++ b/entryd/relay/prefixes.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"lentilstage.dev/decide/choice"
@@ -130,9 +131,17 @@
 	p.count++
 }
 
-// expire removes expired parts once the table exceeds its limit.
+// expire removes expired parts once the table exceeds its limit. If too many are left, those that
+// expire first are removed too, a tenth of the limit more than needed, since the search is slow.
 func (t *prefixTable) expire(now time.Time) {
-	if len(t.expiresAt) > maxPrefixes {
-		maps.DeleteFunc(t.expiresAt, func(_ prefixKey, expiresAt time.Time) bool { return now.After(expiresAt) })
+	if len(t.expiresAt) <= maxPrefixes {
+		return
+	}
+	maps.DeleteFunc(t.expiresAt, func(_ prefixKey, expiresAt time.Time) bool { return now.After(expiresAt) })
+	if len(t.expiresAt) <= maxPrefixes {
+		return
 	}
+	times := slices.SortedFunc(maps.Values(t.expiresAt), time.Time.Compare)
+	cutoff := times[len(times)-maxPrefixes*9/10]
+	maps.DeleteFunc(t.expiresAt, func(_ prefixKey, expiresAt time.Time) bool { return expiresAt.Before(cutoff) })
 }
--- a/entryd/relay/prefixes_test.go
+++ b/entryd/relay/prefixes_test.go
@@ -68,6 +68,19 @@
 	if got := len(k.expiresAt); got > maxPrefixes+1 {
 		t.Errorf("%d parts are in the table", got)
 	}
+	// At a higher rate more than the limit is alive, and the parts that expire first are dropped.
+	for i := range 2 * maxPrefixes {
+		k.place("engine-2", promptParts(fmt.Sprint("burst-", i), fmt.Sprint("request-", i)), now)
+		now = now.Add(10 * time.Microsecond)
+		k.expire(now)
+	}
+	if got := len(k.expiresAt); got > maxPrefixes+1 {
+		t.Errorf("%d parts are in the table during a burst", got)
+	}
+	last := promptParts(fmt.Sprint("burst-", 2*maxPrefixes-1), "request")
+	if got := k.tokens(shortID("engine-2"), shortParts(last), now); got == 0 {
+		t.Error("the newest part was dropped")
+	}
 }
 
 // TestFetchSource guards against a request without a source to fetch from, or with the receiving
--- a/entryd/relay/rollout.go
+++ b/entryd/relay/rollout.go
@@ -171,6 +171,18 @@
 	}
 }
 
+// hasRollouts reports whether a roll-out has no published final verdict.
+func (t *tables) hasRollouts() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, r := range t.rollouts {
+		if !r.ended() {
+			return true
+		}
+	}
+	return false
+}
+
 // markPublished records a verdict that this daemon has published.
 func (t *tables) markPublished(order Rollout, v shift.Status) {
 	t.mutex.Lock()
--- a/lsbench/capacity.go
+++ b/lsbench/capacity.go
@@ -132,23 +132,23 @@
 func (r *capacityReport) gob(v any) int {
 	var buffer bytes.Buffer
 	encoder := gob.NewEncoder(&buffer)
-	r.recordError(encoder.Encode(v))
+	r.recordError("encode gob", encoder.Encode(v))
 	first := buffer.Len()
-	r.recordError(encoder.Encode(v))
+	r.recordError("encode gob", encoder.Encode(v))
 	return buffer.Len() - first
 }
 
 // json returns the JSON encoding of a value.
 func (r *capacityReport) json(v any) []byte {
 	data, err := json.Marshal(v)
-	r.recordError(err)
+	r.recordError("encode JSON", err)
 	return data
 }
 
-// recordError keeps the first error.
-func (r *capacityReport) recordError(err error) {
+// recordError keeps the first error, with the operation that failed.
+func (r *capacityReport) recordError(operation string, err error) {
 	if err != nil && r.err == nil {
-		r.err = eris.Wrap(err, "encode")
+		r.err = eris.Wrap(err, operation)
 	}
 }
 
@@ -240,7 +240,7 @@
 	r.bytes("instance list, JSON", daemons, len(encoded))
 	r.time("instance list, decode", daemons, func() {
 		var decoded wire.InstanceList
-		r.recordError(json.Unmarshal(encoded, &decoded))
+		r.recordError("decode JSON", json.Unmarshal(encoded, &decoded))
 	})
 }
 
@@ -344,12 +344,12 @@
 	someEvents := r.json(wire.CacheEvents{Events: events.Events[:25], Next: 25})
 	r.time("route: one load report", endpoints, func() {
 		var decoded wire.EngineLoad
-		r.recordError(json.Unmarshal(encoded, &decoded))
+		r.recordError("decode JSON", json.Unmarshal(encoded, &decoded))
 		views[0].WithLoad(decoded)
 	})
 	r.time("route: 25 cache events", endpoints, func() {
 		var decoded wire.CacheEvents
-		r.recordError(json.Unmarshal(someEvents, &decoded))
+		r.recordError("decode JSON", json.Unmarshal(someEvents, &decoded))
 		views[0].WithEvents(decoded)
 	})
 	r.bytes("load report, JSON", endpoints, len(encoded))
@@ -430,9 +430,9 @@
 	var buffer bytes.Buffer
 	encoder, decoder := gob.NewEncoder(&buffer), gob.NewDecoder(&buffer)
 	r.time("progress, encode and decode", records, func() {
-		r.recordError(encoder.Encode(batch))
+		r.recordError("encode gob", encoder.Encode(batch))
 		var decoded wire.ProgressBatch
-		r.recordError(decoder.Decode(&decoded))
+		r.recordError("decode gob", decoder.Decode(&decoded))
 	})
 }
 
@@ -452,12 +452,12 @@
 func capacityPeerCalls(r *capacityReport) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		r.recordError(err)
+		r.recordError("listen", err)
 		return
 	}
 	defer func() { _ = listener.Close() }()
 	server := rpc.NewServer()
-	r.recordError(server.RegisterName("Peer", &capacityPeer{}))
+	r.recordError("register service", server.RegisterName("Peer", &capacityPeer{}))
 	go func() {
 		if connection, err := listener.Accept(); err == nil {
 			server.ServeConn(connection)
@@ -465,7 +465,7 @@
 	}()
 	peer, err := rpc.Dial("tcp", listener.Addr().String())
 	if err != nil {
-		r.recordError(err)
+		r.recordError("connect", err)
 		return
 	}
 	defer func() { _ = peer.Close() }()
@@ -480,7 +480,7 @@
 		used, count := processorMicroseconds(), 0
 		r.time("progress call, elapsed", updates, func() {
 			var reply wire.ProgressReply
-			r.recordError(peer.Call("Peer.Progress", batch, &reply))
+			r.recordError("call peer", peer.Call("Peer.Progress", batch, &reply))
 			count++
 		})
 		spent := processorMicroseconds() - used
@@ -505,7 +505,7 @@
 			{Kind: claim.DoneRecord, Account: "account-1", Key: key, ClaimID: id, Status: 200, Result: bytes.Repeat([]byte("x"), 300)},
 		} {
 			data, err := record.Encode()
-			r.recordError(err)
+			r.recordError("encode claim", err)
 			page.Records = append(page.Records, wire.LogRecord{
 				Offset: int64(len(page.Records)), Time: capacityNow, ID: id, Data: data,
 			})
