--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -49,7 +49,10 @@
 		// Recent is the portion of Used that can't have been deducted before, since its daemons
 		// have just started. It is deducted with the first report of the peer.
 		Recent map[string]float64
-		Now    time.Time
+		// SilentAt is when the peer counts as silent unless it reports again; zero means 700 ms after
+		// Now.
+		SilentAt time.Time
+		Now      time.Time
 	}
 
 	// Reset removes all peers. Other peers will report in their place.
@@ -57,12 +60,14 @@
 		Now time.Time
 	}
 
-	// Listed adds a daemon that may not have reported yet. It counts as silent unless it reports
-	// within 700 ms of Since; with a zero Since it counts as silent at once.
+	// Listed adds a peer that may not have reported yet. It counts as silent unless it reports within
+	// 700 ms of Since; with a zero Since it counts as silent at once.
 	Listed struct {
 		Daemon string
-		Since  time.Time
-		Now    time.Time
+		// Daemons is the number of daemons that the peer stands for; less than 1 means 1.
+		Daemons int
+		Since   time.Time
+		Now     time.Time
 	}
 
 	// PeerRemoved removes a peer that will not return.
@@ -117,7 +122,9 @@
 		assumed    map[string]float64
 		rates      map[string]float64
 		reportedAt time.Time
-		silent     bool
+		// silentAt is when the peer counts as silent, silent whether it does.
+		silentAt time.Time
+		silent   bool
 	}
 )
 
@@ -145,10 +152,10 @@
 	// The platform tolerates an excess of a tenth over a window of some seconds.
 	overrunFraction = 0.05
 	// propagationDelay is the time until all daemons know the use of up to propagationDaemons
-	// daemons: two digest intervals and the transmission. With more daemons it grows in
-	// proportion, since digests are sent less often.
+	// daemons: from a daemon to its hub, to the other hubs and to their followers, each at an
+	// interval of 100 ms. With more daemons it grows in proportion, since the intervals do.
 	propagationDelay   = 300 * time.Millisecond
-	propagationDaemons = 40
+	propagationDaemons = 60
 )
 
 // New returns a state whose buckets start with the given fraction of their burst. The phase,
@@ -165,9 +172,14 @@
 	case Merge:
 		s.applyReport(m)
 	case Listed:
-		if _, known := s.peers[m.Daemon]; !known {
+		p, known := s.peers[m.Daemon]
+		if !known {
 			s.advance(m.Now)
-			s.peers[m.Daemon] = newPeer("", nil, m.Since)
+			p = newPeer("", nil, m.Since)
+			s.peers[m.Daemon] = p
+		}
+		if p.incarnation == "" {
+			p.daemons = float64(max(m.Daemons, 1))
 		}
 	case Reset:
 		s.advance(m.Now)
@@ -216,6 +228,7 @@
 		}
 		p = newPeer(m.Incarnation, m.Used, m.Now)
 		p.daemons = float64(max(m.Daemons, 1))
+		p.silentAt = m.silentAt()
 		s.peers[m.Daemon] = p
 		s.setSilentMembers(p, m.Silent)
 		for name, used := range m.Recent {
@@ -238,10 +251,18 @@
 		}
 	}
 	p.used, p.reportedAt, p.silent, p.daemons = m.Used, m.Now, false, float64(max(m.Daemons, 1))
+	p.silentAt = m.silentAt()
 	clear(p.assumed)
 	s.setSilentMembers(p, m.Silent)
 }
 
+func (m Merge) silentAt() time.Time {
+	if m.SilentAt.IsZero() {
+		return m.Now.Add(silenceTimeout)
+	}
+	return m.SilentAt
+}
+
 // setSilentMembers deducts the equal shares of the daemons that have fallen silent to a peer. It
 // refunds what was deducted for those that the peer receives digests from again, since the peer
 // now reports their use.
@@ -282,7 +303,7 @@
 
 func newPeer(incarnation string, used map[string]float64, reportedAt time.Time) *peer {
 	return &peer{
-		incarnation: incarnation, daemons: 1, used: used, reportedAt: reportedAt,
+		incarnation: incarnation, daemons: 1, used: used, reportedAt: reportedAt, silentAt: reportedAt.Add(silenceTimeout),
 		assumed: map[string]float64{}, rates: map[string]float64{}, reserved: map[string]float64{},
 	}
 }
@@ -358,7 +379,7 @@
 // markSilentPeers marks the peers that have fallen silent and deducts their equal shares.
 func (s *State) markSilentPeers(now time.Time) {
 	for _, p := range s.peers {
-		if p.silent || now.Sub(p.reportedAt) <= silenceTimeout {
+		if p.silent || !now.After(p.silentAt) {
 			continue
 		}
 		reachable, _ := s.countDaemons()
@@ -372,12 +393,28 @@
 	}
 }
 
-// Silent returns the number of silent peers.
+// Silent returns the number of daemons that are silent, to this daemon or to the peer that reports
+// for them.
 func (s *State) Silent(now time.Time) int {
 	s.advance(now)
-	count := 0
+	count := 0.0
 	for _, p := range s.peers {
 		if p.silent {
+			count += p.daemons
+		} else {
+			count += p.silentMembers
+		}
+	}
+	return int(count)
+}
+
+// SilentAmong returns how many of the daemons with these names are silent, of those that report for
+// themselves.
+func (s *State) SilentAmong(names []string, now time.Time) int {
+	s.advance(now)
+	count := 0
+	for _, name := range names {
+		if p, known := s.peers[name]; !known || p.silent {
 			count++
 		}
 	}
--- a/decide/usage/usage_test.go
+++ b/decide/usage/usage_test.go
@@ -46,3 +46,31 @@
 		}
 	}
 }
+
+// TestGroups guards against counts of another group that are added twice, and against counts of a
+// process that has ended and that only the group's former hub had received.
+func TestGroups(t *testing.T) {
+	const length = 5 * time.Second
+	start := time.Unix(1000, 0)
+	s := New("entry-1", "first", length)
+	window := s.Window(start)
+	report := func(count int64) map[int64]Counts { return map[int64]Counts{window: {"counter": count}} }
+	s.Count("counter", start)
+	s.Merge("entry-2", "first", report(3))
+	s.MergeGroup("b", report(20))
+	s.MergeGroup("b", report(25))
+	s.MergeGroup("b", report(20))
+	s.MergeGroup("c", report(7))
+	if got := s.Totals(window)["counter"]; got != 1+3+25+7 {
+		t.Errorf("%d requests in all groups, want 36", got)
+	}
+	// The former hub of the own group had counted a process that has ended since.
+	s.MergeGroup("", report(9))
+	if got := s.OwnGroups()[window]["counter"]; got != 9 {
+		t.Errorf("%d requests in the own group, want 9", got)
+	}
+	s.Merge("entry-2", "first", report(11))
+	if got := s.OwnGroups()[window]["counter"]; got != 12 {
+		t.Errorf("%d requests in the own group, want 12", got)
+	}
+}
--- a/entryd/entry/crashes.go
+++ b/entryd/entry/crashes.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"maps"
+	"net"
 	"slices"
 	"sync"
 	"time"
--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -178,7 +178,7 @@
 			ready[scale.Kind{DataCentre: e.DataCentre, Reclaimable: e.Reclaimable}]++
 		}
 	}
-	return ready, (t.work[service] + t.peerWork[service]) / 1000
+	return ready, (t.work[service] + t.peerWork[service] + t.centreWork[service]) / 1000
 }
 
 // settled reports whether all live endpoints are known, by the time since they were first listed.
--- a/entryd/relay/clock.go
+++ b/entryd/relay/clock.go
@@ -25,9 +25,18 @@
 		boot   time.Time
 		offset time.Duration
 		peers  map[string]time.Duration
+		// dueAt is when the offset is next determined from the peers, on the clock that boot uses.
+		dueAt time.Time
 	}
 )
 
+const (
+	// offsetInterval is the pause between two determinations of the offset from manyPeers peers or
+	// more: each sorts their estimates, and a hub receives hundreds of messages a second.
+	offsetInterval = time.Second
+	manyPeers      = 20
+)
+
 func newClock() clock {
 	boot := bootTime()
 	return clock{
@@ -61,7 +70,14 @@
 func (c clock) observe(peer string, estimate time.Time) {
 	c.wallClock.mutex.Lock()
 	defer c.wallClock.mutex.Unlock()
-	c.wallClock.peers[peer] = estimate.Sub(c.wallClock.localTime(c.boot()))
+	boot := c.boot()
+	c.wallClock.peers[peer] = estimate.Sub(c.wallClock.localTime(boot))
+	if boot.Before(c.wallClock.dueAt) {
+		return
+	}
+	if len(c.wallClock.peers) >= manyPeers {
+		c.wallClock.dueAt = boot.Add(offsetInterval)
+	}
 	offsets := []time.Duration{0}
 	for _, o := range c.wallClock.peers {
 		offsets = append(offsets, o)
--- a/entryd/relay/control.go
+++ b/entryd/relay/control.go
@@ -2,24 +2,44 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"lentilstage.dev/decide/hubs"
 )
 
-// snapshot holds the newest records that a daemon knows, for daemons that can't read the log.
-type snapshot struct {
-	Operators []Record `json:"Operators"`
-	Endpoints []Record `json:"Endpoints"`
-	// End is the offset after the last endpoint record that the sender knows. An endpoint with an
-	// older record that is missing from Endpoints is gone.
-	End int64 `json:"End"`
-}
+type (
+	// snapshot holds the newest records that a daemon knows, for daemons that can't read the log or
+	// have missed some.
+	snapshot struct {
+		Operators []Record `json:"Operators"`
+		Endpoints []Record `json:"Endpoints"`
+		// End is the offset after the last endpoint record that the sender knows. An endpoint with an
+		// older record that is missing from Endpoints is gone.
+		End int64 `json:"End"`
+		// Buckets are the buckets of endpoints that the snapshot covers; null means all.
+		Buckets []int `json:"Buckets"`
+		// Members are the daemons that the sender knows.
+		Members []hubs.Member `json:"Members"`
+	}
+
+	// rosterHashes are the hashes of the endpoints that a daemon knows, by bucket.
+	rosterHashes [hashBuckets]uint64
+)
 
 const (
+	// hashBuckets is the number of parts of the endpoints that are compared with another daemon's, so
+	// that a daemon that has missed a change fetches a part of the records.
+	hashBuckets = 64
+	// rosterQuery is the query parameter with the requester's hashes.
+	rosterQuery      = "roster"
 	snapshotPath     = "/v1/snapshot"
 	snapshotTimeout  = 700 * time.Millisecond
 	maxSnapshotBytes = 16 << 20
@@ -37,8 +57,17 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	s := d.snapshot()
+	if text := r.URL.Query().Get(rosterQuery); text != "" {
+		hashes, err := parseHashes(text)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s = s.differing(hashes, d.tables.hashes(d.clock.now()))
+	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(d.snapshot()); err != nil {
+	if err := json.NewEncoder(w).Encode(s); err != nil {
 		d.logger.WithName("control").Info("Snapshot not sent.", "Error", err.Error())
 	}
 }
@@ -49,9 +78,75 @@
 	end := d.freshness.nextOffset(Endpoints, 0)
 	s := d.tables.snapshot()
 	s.End = end
+	for _, r := range d.members.all() {
+		s.Members = append(s.Members, r.Member)
+	}
 	return s
 }
 
+// differing returns the part of the snapshot that covers the buckets in which two daemons differ.
+func (s snapshot) differing(theirs, own rosterHashes) snapshot {
+	s.Buckets = []int{}
+	for bucket, hash := range own {
+		if theirs[bucket] != hash {
+			s.Buckets = append(s.Buckets, bucket)
+		}
+	}
+	s.Endpoints = slices.DeleteFunc(s.Endpoints, func(r Record) bool { return !s.covers(r.Key) })
+	s.Members = nil
+	return s
+}
+
+// covers reports whether the snapshot has the record of an endpoint that the sender knows.
+func (s snapshot) covers(id string) bool {
+	return s.Buckets == nil || slices.Contains(s.Buckets, bucketOf(id))
+}
+
+// bucketOf returns the bucket of an endpoint.
+func bucketOf(id string) int { return int(shortID(id) % hashBuckets) }
+
+// encode returns the hashes as text.
+func (h rosterHashes) encode() string {
+	data := make([]byte, 0, hashBuckets*8)
+	for _, hash := range h {
+		data = binary.BigEndian.AppendUint64(data, hash)
+	}
+	return base64.RawURLEncoding.EncodeToString(data)
+}
+
+func parseHashes(text string) (rosterHashes, error) {
+	var h rosterHashes
+	data, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(data) != hashBuckets*8 {
+		return h, eris.Errorf("%s does not hold %d hashes", rosterQuery, hashBuckets)
+	}
+	for i := range h {
+		h[i] = binary.BigEndian.Uint64(data[i*8:])
+	}
+	return h, nil
+}
+
+// hashes returns the hashes of the endpoints by bucket.
+func (t *tables) hashes(now time.Time) rosterHashes {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.refresh(now)
+	return t.endpointHashes
+}
+
+// endpointsOutside returns the identifiers of the known endpoints that a snapshot does not cover.
+func (t *tables) endpointsOutside(s snapshot) []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var ids []string
+	for id := range t.records[Endpoints] {
+		if !s.covers(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // snapshot returns the records without End.
 func (t *tables) snapshot() snapshot {
 	t.mutex.Lock()
@@ -67,40 +162,52 @@
 }
 
 // syncFromPeers fetches from other daemons what the log does not deliver: everything if this daemon
-// is not ready, all endpoints if they differ from the hub's, or a newer configuration while the log
-// can't be read.
+// is not ready, the endpoints that differ from those of the daemon that informs this one, or a newer
+// configuration while the log can't be read.
 func (d *Daemon) syncFromPeers(ctx context.Context) error {
 	return every(ctx, syncInterval, func() {
 		if !d.tables.ready() {
-			d.applySnapshotFrom(ctx, append(d.members.controlAddresses(0), d.settings.Seeds...))
+			d.applySnapshotFrom(ctx, append(d.members.controlAddresses(0), d.settings.Seeds...), "")
 			return
 		}
-		if hub, isHub := d.members.currentHub(d.clock.now()); !isHub && d.freshness.rosterDiverged(d.clock.now()) {
-			d.applySnapshotFrom(ctx, []string{hub.Control})
+		now := d.clock.now()
+		if d.freshness.rosterDiverged(now) {
+			if source, ok := d.source(now); ok {
+				d.applySnapshotFrom(ctx, []string{source.Control}, "?"+rosterQuery+"="+d.tables.hashes(now).encode())
+			}
 		}
 		if config := d.tables.currentConfig(); config != nil && d.operatorsUnreachable.Load() {
-			d.applySnapshotFrom(ctx, d.members.controlAddresses(config.Version))
+			d.applySnapshotFrom(ctx, d.members.controlAddresses(config.Version), "")
 		}
 	})
 }
 
+// source returns the daemon that informs this one: its hub, or the reader if it is a hub itself.
+func (d *Daemon) source(now time.Time) (hubs.Report, bool) {
+	hub, isHub := d.members.currentHub(now)
+	if !isHub {
+		return hub, true
+	}
+	reader, ok := d.members.reader(now)
+	return reader, ok && reader.Name != d.settings.Name
+}
+
 // applySnapshotFrom applies the first snapshot that one of the addresses returns.
-func (d *Daemon) applySnapshotFrom(ctx context.Context, addresses []string) {
+func (d *Daemon) applySnapshotFrom(ctx context.Context, addresses []string, query string) {
 	for _, address := range addresses {
 		if address == "" || address == d.settings.ControlListen || ctx.Err() != nil {
 			continue
 		}
-		s, err := fetchSnapshot(ctx, address)
+		s, err := fetchSnapshot(ctx, address, query)
 		if err != nil {
 			d.logger.WithName("control").V(1).Info("Snapshot not received.", "From", address, "Error", err.Error())
 			continue
 		}
-		for _, r := range s.Operators {
-			d.applyOperatorRecord(r)
-		}
-		keys := make([]string, 0, len(s.Endpoints))
+		d.applyOperatorRecords(s.Operators)
+		d.listMembers(s.Members)
+		keys := d.tables.endpointsOutside(s)
+		d.applyEndpointRecords(s.Endpoints)
 		for _, r := range s.Endpoints {
-			d.applyEndpointRecord(r)
 			keys = append(keys, r.Key)
 		}
 		d.publishChanges(d.tables.applyListing(s.End, keys, d.clock.now()))
@@ -109,11 +216,11 @@
 	}
 }
 
-func fetchSnapshot(ctx context.Context, address string) (snapshot, error) {
+func fetchSnapshot(ctx context.Context, address, query string) (snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	var s snapshot
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+snapshotPath, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+snapshotPath+query, nil)
 	if err != nil {
 		return s, err
 	}
--- a/entryd/relay/digest.go
+++ b/entryd/relay/digest.go
@@ -3,54 +3,111 @@
 import (
 	"iter"
 	"maps"
+	"math"
+	"slices"
 	"time"
 
+	"lentilstage.dev/decide/hubs"
 	"lentilstage.dev/decide/quota"
 	"lentilstage.dev/decide/suspect"
 	"lentilstage.dev/decide/usage"
 )
 
-// digest returns a message with this daemon's own loads, usage and outcomes.
-func (t *tables) digest(now time.Time) message {
+const (
+	// maxLoadsPerMessage limits the endpoints in one message, so that its size does not grow with the
+	// fleet. Messages then cover the endpoints in turn.
+	maxLoadsPerMessage = 600
+	// keptDigests is the number of a daemon's last digests whose content it keeps, to subtract it from
+	// totals that acknowledge one of them.
+	keptDigests = 64
+	// countsInterval is the pause between messages with the counts of all usage windows. The messages
+	// between them contain the newest window only.
+	countsInterval = time.Second
+	// centrePrefix begins the quota keys of other data centres.
+	centrePrefix = "centre/"
+)
+
+// ownPart is what a digest contributed to the totals.
+type ownPart struct {
+	sequence int64
+	loads    map[uint32]load
+	used     map[string]int64
+	starting bool
+	outcomes map[string]outcomes
+	breaks   map[suspect.Key]int
+}
+
+// digest returns a message with this daemon's own loads, usage and outcomes. allCounts selects the
+// counts of all usage windows instead of the newest.
+func (t *tables) digest(now time.Time, allCounts bool) message {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	m := message{Loads: map[uint32]load{}, Used: map[string]int64{}, Counts: map[int64]map[string]int64{}}
+	m := t.ownMessage(now)
+	m.Digest, m.Prefixes = true, t.prefixTable.drainOwn()
+	m.LoadsTo = math.MaxUint32
+	m.Counts = newestWindows(t.usage.Own(), allCounts)
+	return m
+}
+
+// ownMessage returns this daemon's own loads, usage and outcomes. The caller holds the lock.
+func (t *tables) ownMessage(now time.Time) message {
+	m := message{Loads: map[uint32]load{}, Used: map[string]int64{}, Work: map[string]int64{}, Outcomes: map[string]outcomes{}}
 	for id, own := range t.own {
 		m.Loads[shortID(id)] = load{Requests: own.Requests, Reading: int(own.Reading), Memory: int(own.Memory)}
 	}
 	for account, used := range t.quota.Used() {
 		m.Used[account] = int64(used)
 	}
-	m.Work = map[string]int64{}
 	for service, work := range t.work {
 		m.Work[service] = int64(work)
 	}
-	m.Outcomes = map[string]outcomes{}
 	for service, r := range t.rollouts {
 		m.Outcomes[service] = r.outcomes(now)
 	}
 	reported := t.suspects.NewReport(now)
 	m.Breaks, m.Quarantined, m.AnsweredMS = reported.Breaks, reported.Quarantined, reported.AnsweredMS
+	return m
+}
+
+// newestWindows returns the counts of the last windows, or of the newest one.
+func newestWindows(counts map[int64]usage.Counts, all bool) map[int64]map[string]int64 {
 	newest := int64(0)
-	own := t.usage.Own()
-	for window := range own {
+	for window := range counts {
 		newest = max(newest, window)
 	}
-	for window, counts := range own {
-		if window > newest-digestWindows {
-			m.Counts[window] = counts
+	oldest := newest
+	if all {
+		oldest = newest - digestWindows + 1
+	}
+	selected := map[int64]map[string]int64{}
+	for window, c := range counts {
+		if window >= oldest {
+			selected[window] = c
 		}
 	}
-	return m
+	return selected
+}
+
+// keepOwnPart keeps what a digest contributes to the totals.
+func (t *tables) keepOwnPart(m message) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.ownParts = append(t.ownParts, ownPart{
+		sequence: m.Sequence, loads: m.Loads, used: m.Used, starting: m.AgeMS < startupAge.Milliseconds(),
+		outcomes: m.Outcomes, breaks: m.Breaks,
+	})
+	if extra := len(t.ownParts) - keptDigests; extra > 0 {
+		t.ownParts = slices.Delete(t.ownParts, 0, extra)
+	}
 }
 
-// observe applies a daemon's digest.
-func (t *tables) observe(m message, now time.Time) {
+// observe applies a follower's digest.
+func (t *tables) observe(m message, silentAt, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	p, known := t.peers[m.Daemon]
 	if known && p.incarnation != m.Incarnation {
-		t.addPastUsed(p)
+		p.addCounted(t.pastUsed)
 	}
 	if m.Follow {
 		p.followUntil = now.Add(followTTL)
@@ -58,254 +115,365 @@
 	recent := map[string]float64{}
 	if p.starting = m.AgeMS < startupAge.Milliseconds(); p.starting {
 		recent = floats(m.Used)
+		m.Recent = m.Used
 	}
-	same := known && p.incarnation == m.Incarnation
-	p.counted = p.countUsed(m, same)
-	if same && now.Sub(p.receivedAt) < loadTTL {
-		p.addWork(t.peerWork, m.Work)
-	}
-	p.receivedAt, p.incarnation, p.loads, p.used, p.work = now, m.Incarnation, m.Loads, m.Used, m.Work
-	p.outcomes, p.breaks, p.responses = m.Outcomes, m.Breaks, t.applySuspects(m, now)
-	t.prefixTable.observe(m.Prefixes, now)
+	p = t.applyPeer(p, m, known && p.incarnation == m.Incarnation, t.peerWork, now)
+	p.sequence = m.Sequence
 	t.peers[m.Daemon] = p
-	counts := make(map[int64]usage.Counts, len(m.Counts))
-	for window, c := range m.Counts {
-		counts[window] = c
+	t.usage.Merge(m.Daemon, m.Incarnation, usageCounts(m.Counts))
+	if !t.followsHub {
+		t.quota.Update(quota.Merge{
+			Daemon: m.Daemon, Incarnation: m.Incarnation, Used: floats(m.Used), Recent: recent, Daemons: 1, SilentAt: silentAt, Now: now,
+		})
+	}
+}
+
+// applySum applies the sums of another hub. Those of a former hub of the own data centre hold counts
+// of processes that may have ended since; nothing else of them is used.
+func (t *tables) applySum(m message, silentAt, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if m.DataCentre == t.centre {
+		t.usage.MergeGroup("", usageCounts(m.Counts))
+		return
+	}
+	t.usage.MergeGroup(m.DataCentre, usageCounts(m.Counts))
+	p, known := t.centres[m.DataCentre]
+	if known && p.incarnation != m.Daemon+m.Incarnation {
+		p.addCounted(t.pastUsedElsewhere)
 	}
-	t.usage.Merge(m.Daemon, m.Incarnation, counts)
+	same := known && p.incarnation == m.Daemon+m.Incarnation
+	m.Incarnation = m.Daemon + m.Incarnation
+	p = t.applyPeer(p, m, same, t.centreWork, now)
+	t.centres[m.DataCentre] = p
 	if !t.followsHub {
 		t.quota.Update(quota.Merge{
-			Daemon: m.Daemon, Incarnation: m.Incarnation, Used: floats(m.Used), Recent: recent, Daemons: 1, Now: now,
+			Daemon: centrePrefix + m.DataCentre, Incarnation: m.Incarnation, Used: floats(m.Used), Recent: floats(m.Recent),
+			Daemons: m.Totals.Daemons, Silent: m.Totals.Silent, SilentAt: silentAt, Now: now,
 		})
 	}
 }
 
-// countUsed returns the daemon's usage since its first digest arrived here. Earlier usage of an older
+// applyPeer returns the state of a peer after its message. same reports whether its previous message
+// came from the same process. The caller holds the lock.
+func (t *tables) applyPeer(p peerState, m message, same bool, work map[string]float64, now time.Time) peerState {
+	p.counted = p.countUsed(m, same)
+	if same && now.Sub(p.receivedAt) < loadTTL {
+		p.addWork(work, m.Work)
+	}
+	p.receivedAt, p.incarnation, p.used, p.recent, p.work = now, m.Incarnation, m.Used, m.Recent, m.Work
+	p.loads = withLoads(p.loads, m)
+	p.outcomes, p.breaks, p.responses = m.Outcomes, m.Breaks, t.applySuspects(m, now)
+	t.prefixTable.observe(m.Prefixes, m.Digest, now)
+	return p
+}
+
+// withLoads returns the loads after those in a message, which may cover only a part of the endpoints.
+func withLoads(loads map[uint32]load, m message) map[uint32]load {
+	if m.LoadsFrom == 0 && m.LoadsTo == math.MaxUint32 || loads == nil {
+		return m.Loads
+	}
+	maps.DeleteFunc(loads, func(id uint32, _ load) bool { return id >= m.LoadsFrom && id <= m.LoadsTo })
+	maps.Copy(loads, m.Loads)
+	return loads
+}
+
+func usageCounts(counts map[int64]map[string]int64) map[int64]usage.Counts {
+	converted := make(map[int64]usage.Counts, len(counts))
+	for window, c := range counts {
+		converted[window] = c
+	}
+	return converted
+}
+
+// countUsed returns the peer's usage since its first message arrived here. Earlier usage of an older
 // process is excluded: when a hub has just started, its followers would count that usage as current
 // and refuse the client account for seconds.
 func (p peerState) countUsed(m message, same bool) map[string]int64 {
 	counted := map[string]int64{}
-	switch {
-	case same:
-		maps.Copy(counted, p.counted)
-		for account, used := range m.Used {
-			counted[account] += used - p.used[account]
-		}
-	case p.starting:
-		maps.Copy(counted, m.Used)
+	if !same {
+		maps.Copy(counted, m.Recent)
+		return counted
+	}
+	maps.Copy(counted, p.counted)
+	for account, used := range m.Used {
+		counted[account] += used - p.used[account]
 	}
 	return counted
 }
 
-// addWork adds the work that the daemon has placed since its last digest to a sum. Work that it
-// placed before its first digest, or while its digests were missing, is excluded, since it would
-// count as current demand.
+// addWork adds the work that the peer has placed since its last message to a sum. Work that it placed
+// before its first message, or while its messages were missing, is excluded, since it would count as
+// current demand.
 func (p peerState) addWork(sum map[string]float64, work map[string]int64) {
 	for service, placed := range work {
 		sum[service] += float64(placed - p.work[service])
 	}
 }
 
-// addPastUsed adds the usage of an ended process to the sum, which must not decrease.
-func (t *tables) addPastUsed(p peerState) {
+// addCounted adds the usage of an ended process to a sum, which must not decrease.
+func (p peerState) addCounted(sum map[string]int64) {
 	for account, used := range p.counted {
-		t.pastUsed[account] += used
+		sum[account] += used
 	}
 }
 
-// applyTotals applies the hub's totals over all other daemons.
-func (t *tables) applyTotals(m message, now time.Time) {
+// applyTotals applies the hub's totals over all daemons. The own part that they contain is that of the
+// digest which the hub acknowledges.
+func (t *tables) applyTotals(m message, acknowledged int64, silentAt, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if !t.followsHub || t.hub != m.Daemon {
 		t.followsHub, t.hub = true, m.Daemon
+		t.hubState = peerState{}
 		t.quota.Update(quota.Reset{Now: now})
 	}
-	t.hubState = peerState{receivedAt: now, loads: m.Loads, outcomes: m.Outcomes, breaks: m.Breaks}
+	own, known := t.ownPart(acknowledged)
+	own.subtractFrom(&m)
+	t.hubState.receivedAt = now
+	t.hubState.loads = withLoads(t.hubState.loads, m)
+	t.hubState.outcomes, t.hubState.breaks = m.Outcomes, m.Breaks
 	t.applySuspects(m, now)
-	t.prefixTable.observe(m.Prefixes, now)
+	t.prefixTable.observe(m.Prefixes, false, now)
+	if !known {
+		return
+	}
 	t.quota.Update(quota.Merge{
 		Daemon: hubName, Incarnation: m.Daemon + m.Incarnation, Used: floats(m.Used), Recent: floats(m.Recent),
-		Daemons: max(m.Totals.Daemons-1, 1), Silent: m.Totals.Silent, Now: now,
+		Daemons: max(m.Totals.Daemons-1, 1), Silent: m.Totals.Silent, SilentAt: silentAt, Now: now,
 	})
 }
 
-// becomeHub switches to the digests of all daemons, since this daemon is its own hub. Daemons whose
-// messages don't arrive share the allowances too.
-func (t *tables) becomeHub(others []string, now time.Time) {
+// ownPart returns what the digest with a number contributed.
+func (t *tables) ownPart(sequence int64) (ownPart, bool) {
+	i := slices.IndexFunc(t.ownParts, func(p ownPart) bool { return p.sequence == sequence })
+	if i < 0 {
+		return ownPart{}, false
+	}
+	return t.ownParts[i], true
+}
+
+// subtractFrom subtracts the part from totals.
+func (p ownPart) subtractFrom(m *message) {
+	for id, l := range p.loads {
+		sum, ok := m.Loads[id]
+		if !ok {
+			continue
+		}
+		if rest := sum.minus(l); rest.Requests > 0 {
+			m.Loads[id] = rest
+		} else {
+			delete(m.Loads, id)
+		}
+	}
+	for account, used := range p.used {
+		if _, ok := m.Used[account]; ok {
+			m.Used[account] -= used
+		}
+		if _, ok := m.Recent[account]; ok && p.starting {
+			m.Recent[account] -= used
+		}
+	}
+	for service, o := range p.outcomes {
+		if sum := m.Outcomes[service]; sum.Target == o.Target {
+			sum.Good, sum.Bad = sum.Good-o.Good, sum.Bad-o.Bad
+			m.Outcomes[service] = sum
+		}
+	}
+	for key, count := range p.breaks {
+		if m.Breaks[key] -= count; m.Breaks[key] <= 0 {
+			delete(m.Breaks, key)
+		}
+	}
+}
+
+// becomeHub switches to the digests of the followers and the sums of other hubs, since this daemon is
+// its own hub. Daemons whose messages don't arrive share the allowances too.
+func (t *tables) becomeHub(others func() []hubs.Report, now time.Time) {
 	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if !t.followsHub {
-		return
+	follows := t.followsHub
+	if follows {
+		t.followsHub, t.hub = false, ""
+		t.hubState = peerState{}
+		t.quota.Update(quota.Reset{Now: now})
 	}
-	t.followsHub, t.hub = false, ""
-	t.hubState = peerState{}
-	t.quota.Update(quota.Reset{Now: now})
-	for _, name := range others {
-		t.quota.Update(quota.Listed{Daemon: name, Since: now, Now: now})
+	t.mutex.Unlock()
+	if follows {
+		t.listMembers(others(), now, now)
 	}
 }
 
-// silentDaemons returns the number of daemons whose messages no longer arrive.
+// silentDaemons returns the number of daemons whose messages arrive neither here nor at the hub that
+// reports for them.
 func (t *tables) silentDaemons(now time.Time) int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return t.quota.Silent(now)
 }
 
-// addMember counts a daemon known from the log among those that share allowances.
-func (t *tables) addMember(daemon string, now time.Time) {
+// centreDaemons returns the number of known daemons of the own data centre, this one included, and how
+// many of them are silent.
+func (t *tables) centreDaemons(members []hubs.Report, now time.Time) (count, silent int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if !t.followsHub {
-		t.quota.Update(quota.Listed{Daemon: daemon, Now: now})
+	var names []string
+	for _, m := range members {
+		if m.DataCentre == t.centre {
+			names = append(names, m.Name)
+		}
 	}
+	return len(names) + 1, t.quota.SilentAmong(names, now)
 }
 
-// followsOtherHub reports whether another daemon is this one's hub.
-func (t *tables) followsOtherHub() bool {
+// listMembers counts the known daemons among those that share allowances: each of the own data
+// centre, and each other data centre as one peer. Those that have not reported count as silent some
+// time after since.
+func (t *tables) listMembers(members []hubs.Report, since, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.followsHub
-}
-
-// reporters returns the states that together cover all other daemons: the hub's, or that of each
-// daemon. Digests that this daemon received while it was a hub are excluded, since its present hub's
-// totals include them.
-func (t *tables) reporters() iter.Seq[peerState] {
 	if t.followsHub {
-		return func(yield func(peerState) bool) { yield(t.hubState) }
+		return
+	}
+	elsewhere := map[string]int{}
+	for _, m := range members {
+		if m.DataCentre == t.centre {
+			t.quota.Update(quota.Listed{Daemon: m.Name, Since: since, Now: now})
+		} else {
+			elsewhere[m.DataCentre]++
+		}
+	}
+	for centre, count := range elsewhere {
+		t.quota.Update(quota.Listed{Daemon: centrePrefix + centre, Daemons: count, Since: since, Now: now})
 	}
-	return maps.Values(t.peers)
 }
 
-// drainOwnPrefixes returns the parts of prompts that this daemon has sent since the last call.
-func (t *tables) drainOwnPrefixes() prefixParts {
+// followsOtherHub reports whether another daemon is this one's hub.
+func (t *tables) followsOtherHub() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.prefixTable.drainOwn()
+	return t.followsHub
 }
 
-// drainAllPrefixes returns the parts of prompts that all daemons have sent since the last call.
-func (t *tables) drainAllPrefixes() prefixParts {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.prefixTable.drainAll()
+// reporters returns the states that together cover all other daemons: the hub's, or those of the
+// followers and of the other data centres. Messages that this daemon received while it was a hub are
+// excluded, since its present hub's totals include them.
+func (t *tables) reporters() iter.Seq[peerState] {
+	return func(yield func(peerState) bool) {
+		if t.followsHub {
+			yield(t.hubState)
+			return
+		}
+		for _, peers := range []map[string]peerState{t.peers, t.centres} {
+			for _, p := range peers {
+				if !yield(p) {
+					return
+				}
+			}
+		}
+	}
 }
 
-// followers returns the daemons that have recently asked for totals.
-func (t *tables) followers(now time.Time) map[string]bool {
+// followers returns the daemons that have recently asked for totals, each with the number of its last
+// digest.
+func (t *tables) followers(now time.Time) map[string]int64 {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	names := map[string]bool{}
+	sequences := map[string]int64{}
 	for name, p := range t.peers {
 		if now.Before(p.followUntil) {
-			names[name] = true
+			sequences[name] = p.sequence
 		}
 	}
-	return names
+	return sequences
 }
 
 // expire removes the state of a daemon that is gone, but keeps its counts.
 func (t *tables) expire(daemon string, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.addPastUsed(t.peers[daemon])
+	t.peers[daemon].addCounted(t.pastUsed)
 	delete(t.peers, daemon)
 	t.quota.Update(quota.PeerRemoved{Daemon: daemon, Now: now})
 }
 
-// clusterTotals holds the loads and usage of all daemons, in total and for each peer.
-type clusterTotals struct {
-	loads    map[uint32]load
-	used     map[string]int64
-	recent   map[string]int64
-	outcomes map[string]outcomes
-	breaks   map[suspect.Key]int
-	// quarantined holds the requests that any daemon has in quarantine.
-	quarantined map[suspect.Key]int
-	// responses holds the ages of responses to suspect requests, in milliseconds.
-	responses map[suspect.Key]int64
-	peers     map[string]peerState
+// sums returns a message with the loads and usage of this daemon and its followers, for other hubs.
+// starting reports whether this process has just started.
+func (t *tables) sums(now time.Time, starting, allCounts bool) message {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	m := t.sumOf(t.ownMessage(now), starting, t.pastUsed, t.peers, now)
+	m.Prefixes = t.prefixTable.drainCentre()
+	for service, work := range t.peerWork {
+		m.Work[service] += int64(work)
+	}
+	if allCounts {
+		m.Counts = newestWindows(t.usage.OwnGroups(), true)
+	}
+	t.sumCursor = m.limitLoads(t.sumCursor)
+	return m
 }
 
-// clusterTotals returns the loads and usage of all daemons, including this one. starting reports
-// whether this process has just started.
-func (t *tables) clusterTotals(now time.Time, starting bool) clusterTotals {
-	own := t.digest(now)
+// totals returns a message with the loads and usage of all daemons, for followers.
+func (t *tables) totals(now time.Time, starting bool) message {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	s := clusterTotals{
-		loads: own.Loads, used: own.Used, recent: map[string]int64{}, outcomes: own.Outcomes,
-		breaks: own.Breaks, quarantined: own.Quarantined, responses: own.AnsweredMS, peers: map[string]peerState{},
+	m := t.sumOf(t.ownMessage(now), starting, t.pastUsed, t.peers, now)
+	m = t.sumOf(m, false, t.pastUsedElsewhere, t.centres, now)
+	m.Prefixes, m.Work = t.prefixTable.drainAll(), nil
+	t.totalsCursor = m.limitLoads(t.totalsCursor)
+	return m
+}
+
+// sumOf adds the state of peers to a message. The caller holds the lock.
+func (t *tables) sumOf(m message, starting bool, pastUsed map[string]int64, peers map[string]peerState, now time.Time) message {
+	if m.Recent == nil {
+		m.Recent = map[string]int64{}
 	}
 	if starting {
-		s.recent = maps.Clone(own.Used)
+		maps.Copy(m.Recent, m.Used)
 	}
-	for account, used := range t.pastUsed {
-		s.used[account] += used
+	for account, used := range pastUsed {
+		m.Used[account] += used
 	}
-	for name, p := range t.peers {
-		s.peers[name] = p
+	for _, p := range peers {
+		p.addCounted(m.Used)
+		for account, used := range p.recent {
+			m.Recent[account] += used
+		}
 		for service, o := range p.outcomes {
-			sum := s.outcomes[service]
+			sum := m.Outcomes[service]
 			if sum.Target == "" || sum.Target == o.Target {
-				s.outcomes[service] = sum.plus(o)
+				m.Outcomes[service] = sum.plus(o)
 			}
 		}
 		for key, count := range p.breaks {
-			s.breaks[key] += count
+			m.Breaks[key] += count
 		}
 		for key, at := range p.responses {
 			age := now.Sub(at).Milliseconds()
-			if known, ok := s.responses[key]; !ok || age < known {
-				s.responses[key] = age
-			}
-		}
-		for account, used := range p.counted {
-			s.used[account] += used
-		}
-		if p.starting {
-			for account, used := range p.used {
-				s.recent[account] += used
+			if known, ok := m.AnsweredMS[key]; !ok || age < known {
+				m.AnsweredMS[key] = age
 			}
 		}
 	}
-	t.addPeerLoads(s.loads, now)
-	return s
+	addPeerLoads(m.Loads, peers, now)
+	return m
 }
 
-// excluding returns the totals without one daemon's part.
-func (s clusterTotals) excluding(daemon string) message {
-	p := s.peers[daemon]
-	m := message{Loads: maps.Clone(s.loads), Used: maps.Clone(s.used), Recent: maps.Clone(s.recent), Outcomes: maps.Clone(s.outcomes)}
-	m.Breaks, m.Quarantined, m.AnsweredMS = maps.Clone(s.breaks), s.quarantined, s.responses
-	for key, count := range p.breaks {
-		if m.Breaks[key] -= count; m.Breaks[key] <= 0 {
-			delete(m.Breaks, key)
-		}
-	}
-	for account, used := range p.counted {
-		m.Used[account] -= used
+// limitLoads reduces the loads to those that fit into a message, starting at an identifier, and
+// returns the identifier at which the next message starts.
+func (m *message) limitLoads(from uint32) (next uint32) {
+	m.LoadsFrom, m.LoadsTo = 0, math.MaxUint32
+	if len(m.Loads) <= maxLoadsPerMessage {
+		return 0
 	}
-	if p.starting {
-		for account, used := range p.used {
-			m.Recent[account] -= used
-		}
+	ids := slices.Sorted(maps.Keys(m.Loads))
+	first, _ := slices.BinarySearch(ids, from)
+	m.LoadsFrom = from
+	if last := first + maxLoadsPerMessage; last < len(ids) {
+		m.LoadsTo = ids[last] - 1
+		next = ids[last]
 	}
-	for service, o := range p.outcomes {
-		if sum := m.Outcomes[service]; sum.Target == o.Target {
-			sum.Good, sum.Bad = sum.Good-o.Good, sum.Bad-o.Bad
-			m.Outcomes[service] = sum
-		}
-	}
-	for id, l := range p.loads {
-		rest := m.Loads[id].minus(l)
-		if rest.Requests <= 0 {
-			delete(m.Loads, id)
-			continue
-		}
-		m.Loads[id] = rest
-	}
-	return m
+	maps.DeleteFunc(m.Loads, func(id uint32, _ load) bool { return id < m.LoadsFrom || id > m.LoadsTo })
+	return next
 }
--- a/entryd/relay/digest_test.go
+++ b/entryd/relay/digest_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -13,16 +14,25 @@
 func TestTotalsExcludeReceiver(t *testing.T) {
 	now := time.Unix(1000, 0)
 	hub := newTables(Settings{Name: "entry-1"}, "first")
-	send := func(name string, factor int64) {
+	send := func(name string, factor int64) message {
 		n := int(factor)
-		hub.observe(message{
-			Daemon: name, Incarnation: "1", Loads: map[uint32]load{7: {Requests: n, Reading: 10 * n, Memory: 100 * n}},
-			Used: map[string]int64{"counter": factor}, Outcomes: map[string]outcomes{"pool": {Target: "v2", Good: factor, Bad: factor}},
-		}, now)
+		m := message{
+			Daemon: name, Incarnation: "1", Digest: true, Sequence: factor, LoadsTo: math.MaxUint32,
+			Loads: map[uint32]load{7: {Requests: n, Reading: 10 * n, Memory: 100 * n}},
+			Used:  map[string]int64{"counter": factor}, Outcomes: map[string]outcomes{"pool": {Target: "v2", Good: factor, Bad: factor}},
+		}
+		hub.observe(m, now.Add(time.Second), now)
+		return m
 	}
 	send("entry-2", 1)
-	send("entry-3", 2)
-	m := hub.clusterTotals(now, false).excluding("entry-3")
+	receiver := newTables(Settings{Name: "entry-3"}, "1")
+	receiver.keepOwnPart(send("entry-3", 2))
+	m := hub.totals(now, false)
+	own, known := receiver.ownPart(2)
+	if !known {
+		t.Fatal("the content of the last digest was not kept")
+	}
+	own.subtractFrom(&m)
 	if got, want := m.Loads[7], (load{Requests: 1, Reading: 10, Memory: 100}); got != want {
 		t.Errorf("loads %+v, want %+v", got, want)
 	}
@@ -40,11 +50,11 @@
 	now := time.Unix(1000, 0)
 	hub := newTables(Settings{Name: "entry-1"}, "first")
 	// A daemon without usage sends none.
-	hub.observe(message{Daemon: "entry-3", Incarnation: "1"}, now)
+	hub.observe(message{Daemon: "entry-3", Incarnation: "1"}, now.Add(time.Second), now)
 	used := func(daemon string, incarnation string, amount, ageMS int64) int64 {
 		now = now.Add(200 * time.Millisecond)
-		hub.observe(message{Daemon: daemon, Incarnation: incarnation, Used: map[string]int64{"counter": amount}, AgeMS: ageMS}, now)
-		return hub.clusterTotals(now, false).excluding("entry-9").Used["counter"]
+		hub.observe(message{Daemon: daemon, Incarnation: incarnation, Used: map[string]int64{"counter": amount}, AgeMS: ageMS}, now.Add(time.Second), now)
+		return hub.totals(now, false).Used["counter"]
 	}
 	for i, step := range []struct {
 		daemon, incarnation string
@@ -83,7 +93,7 @@
 		{"2", 200 * time.Millisecond, 1_500, 3.5},
 	} {
 		now = now.Add(step.pause)
-		hub.observe(message{Daemon: "entry-2", Incarnation: step.incarnation, Work: map[string]int64{"pool": step.placed}}, now)
+		hub.observe(message{Daemon: "entry-2", Incarnation: step.incarnation, Work: map[string]int64{"pool": step.placed}}, now.Add(time.Second), now)
 		if _, got := hub.serviceState("pool", now); got != step.want {
 			t.Errorf("step %d: work of %g s, want %g", i, got, step.want)
 		}
@@ -99,7 +109,7 @@
 	late := func(o outcomes) *rollout {
 		d := newTables(Settings{Name: "entry-2"}, "first")
 		d.startRollout(order, Record{Key: "pool", Offset: 5}, now)
-		d.observe(message{Daemon: "entry-1", Incarnation: "1", Outcomes: map[string]outcomes{"pool": o}}, now)
+		d.observe(message{Daemon: "entry-1", Incarnation: "1", Outcomes: map[string]outcomes{"pool": o}}, now.Add(time.Second), now)
 		d.pendingVerdicts(now)
 		return d.rollouts["pool"]
 	}
@@ -111,7 +121,7 @@
 	}
 	d := newTables(Settings{Name: "entry-3"}, "first")
 	d.startRollout(order, Record{Key: "pool", Offset: 5}, now)
-	d.observe(message{Daemon: "entry-1", Incarnation: "1", Outcomes: map[string]outcomes{"pool": {Target: "v2", Ended: shift.RolledBack}}}, now)
+	d.observe(message{Daemon: "entry-1", Incarnation: "1", Outcomes: map[string]outcomes{"pool": {Target: "v2", Ended: shift.RolledBack}}}, now.Add(time.Second), now)
 	if changed := d.pendingVerdicts(now); len(changed) != 0 || d.rollouts["pool"].state.RouteToNew(0) {
 		t.Errorf("verdicts %v pending after a final one was published", changed)
 	}
@@ -133,9 +143,9 @@
 		Daemon: "entry-2", Incarnation: "1", Breaks: map[suspect.Key]int{7: 2},
 		Outcomes: map[string]outcomes{"pool": {Target: "v2", Good: 2, Bad: 2}},
 	}
-	d.observe(report, now)
+	d.observe(report, now.Add(time.Second), now)
 	report.Daemon, report.Totals = "entry-3", &totals{Daemons: 3}
-	d.applyTotals(report, now)
+	d.applyTotals(report, 0, now.Add(time.Second), now)
 	d.pendingVerdicts(now)
 	if d.rollouts["pool"].state.Stopped() {
 		t.Error("two bad outcomes stop the new version")
@@ -152,11 +162,11 @@
 	hub, follower := newTables(Settings{Name: "entry-1"}, "first"), newTables(Settings{Name: "entry-2"}, "first")
 	follower.recordAttempt(7, broken, now)
 	now = now.Add(time.Second)
-	hub.observe(message{Daemon: "entry-3", Incarnation: "1", AnsweredMS: map[suspect.Key]int64{7: 200}}, now)
-	report := hub.clusterTotals(now, false).excluding("entry-2")
+	hub.observe(message{Daemon: "entry-3", Incarnation: "1", AnsweredMS: map[suspect.Key]int64{7: 200}}, now.Add(time.Second), now)
+	report := hub.totals(now, false)
 	report.Daemon, report.Totals = "entry-1", &totals{Daemons: 3}
-	follower.applyTotals(report, now)
-	if got := follower.digest(now).Breaks[7]; got != 0 {
+	follower.applyTotals(report, 0, now.Add(time.Second), now)
+	if got := follower.digest(now, true).Breaks[7]; got != 0 {
 		t.Errorf("%d broken attempts are reported for a request with a later response", got)
 	}
 }
--- a/entryd/relay/follower_test.go
+++ b/entryd/relay/follower_test.go
@@ -48,12 +48,12 @@
 	now = now.Add(5 * time.Second)
 	hub := message{Daemon: "entry-1", Incarnation: "1", DataCentre: "a", Speed: 2, TimeMS: now.UnixMilli(), Totals: &totals{Daemons: 2, EndpointsNext: 9}}
 	for range 4 {
-		d.gossip.handle(hub, "127.0.0.1:9")
+		d.gossip.handle(hub, 0, "127.0.0.1:9")
 		now = now.Add(300 * time.Millisecond)
 	}
 	// By now, registrations that expired in the outage would have been renewed.
 	now = now.Add(2 * time.Second)
-	d.gossip.handle(hub, "127.0.0.1:9")
+	d.gossip.handle(hub, 0, "127.0.0.1:9")
 	d.tables.applyListing(9, nil, now)
 	d.tables.tick(now)
 	if d.knowsEndpoint("e1") {
--- a/entryd/relay/freshness.go
+++ b/entryd/relay/freshness.go
@@ -7,14 +7,16 @@
 	"lentilstage.dev/decide/roster"
 )
 
-// freshness tracks the age of the last reads of each stream by this daemon and by its hub. A daemon
-// reads a stream itself while it is a hub, or while its hub's reads are too old.
+// freshness tracks the age of the last reads of each stream by this daemon and by the daemon that
+// informs it: a follower's hub, or the reader for a hub. A daemon reads a stream itself while it is the
+// reader, or while the reads that inform it are too old.
 type freshness struct {
 	mutex sync.Mutex
 	// ownReadAt is the time of this daemon's last read up to the end of a stream, hubReadAt that of
-	// its hub.
-	ownReadAt map[Stream]time.Time
-	hubReadAt map[Stream]time.Time
+	// the read by which its hub informs it, and readerReadAt that of the reader's, which informs hubs.
+	ownReadAt    map[Stream]time.Time
+	hubReadAt    map[Stream]time.Time
+	readerReadAt map[Stream]time.Time
 	// ownOffset is the offset after the records that this daemon has, hubOffset the one after the
 	// hub's endpoint records.
 	ownOffset map[Stream]int64
@@ -36,11 +38,17 @@
 }
 
 const (
-	// maxOperatorsAge limits the age of a hub's read of the configuration. After it, an own read must
-	// still fit into the time in which a change must be in force.
+	// maxOperatorsAge limits the age of the read of the configuration that informs a daemon. After it,
+	// an own read must still fit into the time in which a change must be in force.
 	maxOperatorsAge = 1500 * time.Millisecond
-	// maxEndpointsAge limits the age of a hub's read of the endpoints.
+	// maxEndpointsAge limits the age of the read of the endpoints.
 	maxEndpointsAge = 1900 * time.Millisecond
+	// usualInterval is the interval of messages for which these ages hold. They grow with it, since
+	// an age is two intervals old when it reaches a follower.
+	usualInterval = 100 * time.Millisecond
+	// hubReadLead is how much earlier a hub reads than its followers would, so that one read informs
+	// them all.
+	hubReadLead = 200 * time.Millisecond
 	// maxPeerReadGap is the longest gap between other daemons' reads for which the log counts as
 	// reachable without interruption; a hub reads at least every two seconds.
 	maxPeerReadGap = 2500 * time.Millisecond
@@ -53,7 +61,7 @@
 )
 
 func newFreshness(rosterHash func(time.Time) uint64) *freshness {
-	return &freshness{ownReadAt: map[Stream]time.Time{}, hubReadAt: map[Stream]time.Time{}, ownOffset: map[Stream]int64{}, rosterHash: rosterHash}
+	return &freshness{ownReadAt: map[Stream]time.Time{}, hubReadAt: map[Stream]time.Time{}, readerReadAt: map[Stream]time.Time{}, ownOffset: map[Stream]int64{}, rosterHash: rosterHash}
 }
 
 // recordOwnRead records a read by this daemon up to the stream's end.
@@ -76,18 +84,21 @@
 	}
 }
 
-// applyHubTotals records what the hub reports about its reads.
-func (f *freshness) applyHubTotals(t totals, endpointsAge time.Duration, now time.Time) {
+// applyHubTotals records what this daemon's hub, or the reader if it is a hub itself, reports about its
+// reads.
+func (f *freshness) applyHubTotals(t totals, endpointsReadAt time.Time, isHub bool, now time.Time) {
+	hash := f.rosterHash(now)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.hubReadAt[Operators] = now.Add(-time.Duration(t.OperatorsAgeMS) * time.Millisecond)
-	f.hubReadAt[Endpoints] = now.Add(-endpointsAge)
+	readAt := f.readsFor(isHub)
+	readAt[Operators] = latest(readAt[Operators], ago(t.OperatorsAgeMS, now))
+	readAt[Endpoints] = latest(readAt[Endpoints], endpointsReadAt)
 	if t.OperatorsNext <= f.ownOffset[Operators] {
 		f.behindSince = time.Time{}
 	} else if f.behindSince.IsZero() {
 		f.behindSince = now
 	}
-	if t.Roster == f.rosterHash(now) {
+	if t.Roster == hash {
 		f.divergedSince = time.Time{}
 		f.hubOffset = t.EndpointsNext
 	} else if f.divergedSince.IsZero() {
@@ -95,23 +106,59 @@
 	}
 }
 
-// fillTotals sets a hub's own reads in its totals.
-func (f *freshness) fillTotals(t *totals, now time.Time) {
+// fillTotals sets a hub's reads in its totals, or its own ones only. Other hubs rely on own reads
+// alone: two hubs that inform each other would never find their records old.
+func (f *freshness) fillTotals(t *totals, own bool, now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	t.OperatorsAgeMS = now.Sub(f.ownReadAt[Operators]).Milliseconds()
+	readAt := f.ownReadAt[Operators]
 	t.OperatorsNext, t.EndpointsNext = f.ownOffset[Operators], f.ownOffset[Endpoints]
+	if !own {
+		readAt = latest(readAt, f.readerReadAt[Operators])
+		t.EndpointsNext = max(t.EndpointsNext, f.hubOffset)
+	}
+	t.OperatorsAgeMS = ageMS(readAt, now)
+}
+
+// readsFor returns the times of the reads that inform a hub, or a follower.
+func (f *freshness) readsFor(isHub bool) map[Stream]time.Time {
+	if isHub {
+		return f.readerReadAt
+	}
+	return f.hubReadAt
+}
+
+// readTimes returns when the last read of a stream was made that lets this daemon inform others, and
+// when it last read the stream itself. What a hub of its own data centre reads does not count: a hub
+// that can't read, and that a follower has replaced, would take its place again.
+func (f *freshness) readTimes(stream Stream) (informedAt, ownAt time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	ownAt = f.ownReadAt[stream]
+	return latest(ownAt, f.readerReadAt[stream]), ownAt
 }
 
-// hubFresh reports whether the hub's last read of the stream is recent enough to rely on.
-func (f *freshness) hubFresh(stream Stream, now time.Time) bool {
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// hubFresh reports whether the last read of the stream that another daemon made for this one is recent
+// enough to rely on. interval is the interval of messages.
+func (f *freshness) hubFresh(stream Stream, isHub bool, interval time.Duration, now time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	limit := maxOperatorsAge
 	if stream == Endpoints {
 		limit = maxEndpointsAge
 	}
-	return now.Sub(f.hubReadAt[stream]) < limit
+	limit += 2 * (interval - usualInterval)
+	if isHub {
+		limit -= hubReadLead
+	}
+	return now.Sub(f.readsFor(isHub)[stream]) < limit
 }
 
 // nextOffset returns the offset after the stream's records that this daemon knows, at least minimum.
@@ -159,13 +206,6 @@
 	return now.Sub(f.peerReadAt) < maxPeerReadGap && !f.peerReadSince.After(since)
 }
 
-// ownReadAge returns the time since this daemon's last read of the endpoints.
-func (f *freshness) ownReadAge(now time.Time) time.Duration {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return now.Sub(f.ownReadAt[Endpoints])
-}
-
 // recordVersion records a configuration version that a daemon has reported.
 func (f *freshness) recordVersion(version int64, now time.Time) {
 	f.mutex.Lock()
@@ -184,7 +224,7 @@
 		!f.behindSince.IsZero() && now.Sub(f.behindSince) > forwardDelay
 }
 
-// publishChanges logs changes of endpoints and sends them to this daemon's followers.
+// publishChanges logs changes of endpoints and sends them to the daemons that this one informs.
 func (d *Daemon) publishChanges(changes []roster.Change) {
 	if len(changes) == 0 {
 		return
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -2,42 +2,54 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"net"
+	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"lentilstage.dev/decide/hubs"
 	"lentilstage.dev/decide/roster"
 )
 
 type (
-	// gossip exchanges datagrams with the other daemons. Each daemon sends heartbeats to all others
-	// and its digest to the hubs. A hub sends each follower the totals over all daemons but the
-	// follower.
+	// gossip exchanges datagrams with the other daemons. A follower sends its digest to its hub. A hub
+	// sends its followers the totals over all daemons, and the other hubs the sums over its own data
+	// centre. Every daemon also introduces itself to a random one in each interval.
 	gossip struct {
 		daemon *Daemon
 		conn   atomic.Pointer[net.UDPConn]
-		sentAt time.Time
-		// heartbeatAt is the time of the last heartbeats.
-		heartbeatAt time.Time
+		// sequence is the number of the last digest. It starts at the time of day, so that an
+		// acknowledgement of an earlier process has no effect.
+		sequence int64
+		// countsAt is when the counts of all usage windows were last sent.
+		countsAt time.Time
 	}
+
+	// datagram is an encoded message with room for an acknowledgement, so that one encoding serves
+	// all receivers.
+	datagram []byte
 )
 
 const (
-	// digestInterval is the pause between digests of up to digestBaseDaemons daemons. With more
-	// daemons it grows with their number, so that a hub's load does not.
-	digestInterval    = 100 * time.Millisecond
-	digestBaseDaemons = 40
-	maxDatagramBytes  = 60 << 10
+	maxDatagramBytes = 60 << 10
+	// acknowledgementBytes is the length of the acknowledged sequence number before the message.
+	acknowledgementBytes = 8
 	// maxForwardedBytes limits the operators' records in a datagram.
 	maxForwardedBytes = 48 << 10
+	// maxChangesPerMessage limits the endpoints in a message; a record has some hundred bytes.
+	maxChangesPerMessage = 60
 	// digestWindows is the number of usage windows in a digest.
 	digestWindows = 4
 	// followTTL is how long a follower receives totals without a new request.
 	followTTL = 2 * time.Second
+	// receiveRetryDelay is the pause after a failed receive.
+	receiveRetryDelay = 100 * time.Millisecond
 	// hubName is the quota key of the totals that come from the hub.
 	hubName = "hub"
 	// startupAge is the age up to which all usage of a process counts as recent: allowances apply to
@@ -45,7 +57,9 @@
 	startupAge = 10 * time.Second
 )
 
-func newGossip(d *Daemon) *gossip { return &gossip{daemon: d} }
+func newGossip(d *Daemon) *gossip {
+	return &gossip{daemon: d, sequence: d.clock.localNow().UnixMilli()}
+}
 
 // run exchanges messages until the context ends.
 func (g *gossip) run(ctx context.Context) error {
@@ -68,45 +82,67 @@
 		defer close(done)
 		g.receive(ctx, conn)
 	}()
-	err = every(ctx, digestInterval, g.sendDigests)
+	for ctx.Err() == nil {
+		next := g.daemon.clock.now().Add(g.daemon.members.interval())
+		g.sendAll()
+		sleep(ctx, next.Sub(g.daemon.clock.now()))
+	}
 	<-done
-	return err
+	return nil
 }
 
 // receive handles messages until the connection is closed.
 func (g *gossip) receive(ctx context.Context, conn *net.UDPConn) {
 	buffer := make([]byte, maxDatagramBytes)
 	for ctx.Err() == nil {
-		n, from, err := conn.ReadFromUDP(buffer)
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			g.daemon.logger.WithName("gossip").Info("Receive failed.", "Error", err.Error())
-			sleep(ctx, digestInterval)
+			sleep(ctx, receiveRetryDelay)
 			continue
 		}
-		var m message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil || m.Daemon == "" {
+		m, acknowledged, err := decodeDatagram(buffer[:n])
+		if err != nil {
 			g.daemon.meters.count("Digests.Malformed")
 			continue
 		}
-		g.handle(m, from.String())
+		g.handle(m, acknowledged, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String())
+	}
+}
+
+// decodeDatagram returns the message in a datagram and the sequence number that it acknowledges.
+func decodeDatagram(data []byte) (message, int64, error) {
+	var m message
+	if len(data) < acknowledgementBytes {
+		return m, 0, eris.Errorf("datagram of %d bytes", len(data))
 	}
+	if err := cbor.Unmarshal(data[acknowledgementBytes:], &m); err != nil {
+		return m, 0, eris.Wrap(err, "decode datagram")
+	}
+	if m.Daemon == "" {
+		return m, 0, eris.New("datagram without a sender")
+	}
+	return m, int64(binary.BigEndian.Uint64(data)), nil
 }
 
 // handle applies a message to the daemon's state.
-func (g *gossip) handle(m message, from string) {
+func (g *gossip) handle(m message, acknowledged int64, from string) {
 	d := g.daemon
 	if m.Daemon == d.settings.Name {
 		return
 	}
 	now := d.clock.now()
-	sender := member{
-		Name: m.Daemon, Address: from, Control: m.Control, DataCentre: m.DataCentre, Speed: m.Speed,
-		Incarnation: m.Incarnation, config: m.Config, holdsLease: m.Fence > 0, readAt: now.Add(-m.readAge()),
-	}
-	if d.members.observe(sender, now) {
+	isNew := false
+	d.members.use(func(s *hubs.State) {
+		isNew = s.Observe(m.report(from, now), now)
+		for _, r := range m.Referrals {
+			s.Refer(r.report(now), now)
+		}
+	})
+	if isNew {
 		d.logger.WithName("gossip").Info("Daemon process discovered.", "Daemon", m.Daemon, "Address", from, "Incarnation", m.Incarnation)
 	}
 	d.clock.observe(m.Daemon, time.UnixMilli(m.TimeMS))
@@ -114,133 +150,165 @@
 		d.leader.observe(m.Fence)
 	}
 	d.freshness.recordVersion(m.Config, now)
-	d.freshness.recordPeerRead(now.Add(-m.readAge()))
+	d.freshness.recordPeerRead(ago(m.ReadAgeMS, now))
 	switch {
+	case m.Sum && m.Totals != nil:
+		g.handleSum(m, now)
 	case m.Totals != nil:
-		g.handleTotals(m, now)
+		g.handleTotals(m, acknowledged, now)
 	case len(m.Operators) > 0:
 		g.handleOperators(m)
 	case len(m.Put)+len(m.Gone) > 0:
-		g.handleChanges(m, now)
+		g.handleChanges(m)
 	case m.Digest:
-		d.tables.observe(m, now)
+		d.tables.observe(m, d.members.silentAt(now), now)
+	case m.Probe:
+		g.send(message{}, 0, target{m.Daemon, from})
 	}
 }
 
 // handleTotals applies the totals of this daemon's hub.
-func (g *gossip) handleTotals(m message, now time.Time) {
+func (g *gossip) handleTotals(m message, acknowledged int64, now time.Time) {
 	d := g.daemon
 	hub, isHub := d.members.currentHub(now)
 	if isHub || hub.Name != m.Daemon {
 		return
 	}
-	d.tables.applyTotals(m, now)
-	d.freshness.applyHubTotals(*m.Totals, m.readAge(), now)
-	// A daemon whose reads failed makes none while its hub's are fresh. It must then also drop the
-	// endpoints that the hub finds gone.
-	if d.freshness.hubFresh(Endpoints, now) && d.tables.unreachable() {
+	d.tables.applyTotals(m, acknowledged, d.members.silentAt(now), now)
+	d.freshness.applyHubTotals(*m.Totals, ago(m.ReadAgeMS, now), false, now)
+	g.applyHubReads(hub.Name, now)
+}
+
+// handleSum applies the sums of another hub.
+func (g *gossip) handleSum(m message, now time.Time) {
+	d := g.daemon
+	if m.DataCentre != d.settings.DataCentre && d.members.hubOf(m.DataCentre, now) != m.Daemon {
+		return
+	}
+	d.tables.applySum(m, d.members.silentAt(now), now)
+	if _, isHub := d.members.currentHub(now); !isHub {
+		return
+	}
+	if reader, ok := d.members.reader(now); ok && reader.Name == m.Daemon {
+		d.freshness.applyHubTotals(*m.Totals, ago(m.OwnReadAgeMS, now), true, now)
+		g.applyHubReads(m.Daemon, now)
+	}
+}
+
+// applyHubReads ends the state of a daemon whose own reads failed while another daemon's inform it: it
+// makes none that could end it, and must then also drop the endpoints that the hub finds gone.
+func (g *gossip) applyHubReads(hub string, now time.Time) {
+	d := g.daemon
+	if d.informed(Endpoints, now) && d.tables.unreachable() {
 		d.setEndpointsReachable(true)
-		d.logger.WithName("store").Info("Reachable through the hub.", "Stream", Endpoints, "Hub", hub.Name)
+		d.logger.WithName("store").Info("Reachable through a hub.", "Stream", Endpoints, "Hub", hub)
 	}
-	if d.freshness.hubFresh(Operators, now) {
+	if d.informed(Operators, now) {
 		d.operatorsUnreachable.Store(false)
 	}
 }
 
-// handleOperators applies operators' records that a hub has forwarded.
+// handleOperators applies operators' records that a hub has forwarded, and forwards them to the
+// followers of this daemon.
 func (g *gossip) handleOperators(m message) {
-	for _, r := range m.Operators {
-		g.daemon.applyOperatorRecord(r)
-	}
+	g.daemon.applyOperatorRecords(m.Operators)
 	g.daemon.freshness.recordForwarded(m.OperatorsFrom, m.OperatorsNext)
+	g.sendTo(g.followers(), func() message {
+		return message{Operators: m.Operators, OperatorsFrom: m.OperatorsFrom, OperatorsNext: m.OperatorsNext}
+	})
 }
 
 // handleChanges applies changes of endpoints.
-func (g *gossip) handleChanges(m message, now time.Time) {
-	d := g.daemon
-	if _, isHub := d.members.currentHub(now); isHub {
-		return
-	}
-	for _, r := range m.Put {
-		d.applyEndpointRecord(r)
-	}
+func (g *gossip) handleChanges(m message) {
+	g.daemon.applyEndpointRecords(m.Put)
+	var gone []roster.Change
 	for _, r := range m.Gone {
-		d.logChanges(d.tables.removeGone(r))
+		gone = append(gone, g.daemon.tables.removeGone(r)...)
 	}
+	g.daemon.publishChanges(gone)
 }
 
-// sendDigests sends this daemon's digest to the hubs, and totals to its followers.
-func (g *gossip) sendDigests() {
+// sendAll sends the messages of one interval.
+func (g *gossip) sendAll() {
 	d := g.daemon
 	now := d.clock.now()
-	interval := digestInterval * time.Duration(max(1, d.members.count()/digestBaseDaemons))
-	if now.Sub(g.sentAt) < interval-digestInterval/2 {
-		return
+	informedAt, ownReadAt := d.freshness.readTimes(Endpoints)
+	d.members.use(func(s *hubs.State) {
+		s.UpdateSelf(d.leader.fence() > 0, d.tables.configVersion(), informedAt, ownReadAt)
+	})
+	allCounts := now.Sub(g.countsAt) >= countsInterval
+	if allCounts {
+		g.countsAt = now
 	}
-	g.sentAt = now
-	d.members.updateSelf(d.leader.fence() > 0, now.Add(-d.freshness.ownReadAge(now)))
-	hub, isHub := d.members.currentHub(now)
-	if isHub {
-		d.tables.becomeHub(d.members.names(), now)
-	}
-	g.sendHeartbeats(now)
-	digest := d.tables.digest(now)
-	digest.Digest, digest.Prefixes = true, d.tables.drainOwnPrefixes()
-	g.addSender(&digest)
-	for _, h := range d.members.hubs(now) {
-		if h.Name == d.settings.Name {
-			continue
-		}
-		digest.Follow = !isHub && h.Name == hub.Name
-		g.send(digest, h.Address)
+	if hub, isHub := d.members.currentHub(now); isHub {
+		d.tables.becomeHub(d.members.all, now)
+		g.sendSums(allCounts, now)
+	} else {
+		g.sendDigest(target{hub.Name, hub.Address}, allCounts, now)
 	}
 	g.sendTotals(now)
+	for _, p := range d.members.probes(now, d.random) {
+		g.send(message{Probe: true}, 0, p)
+	}
+}
+
+// sendDigest sends this daemon's digest to its hub.
+func (g *gossip) sendDigest(hub target, allCounts bool, now time.Time) {
+	m := g.daemon.tables.digest(now, allCounts)
+	g.sequence++
+	m.Sequence, m.Follow = g.sequence, true
+	g.addSender(&m)
+	g.daemon.tables.keepOwnPart(m)
+	g.write(encode(g.daemon, m), 0, hub)
 }
 
-// sendHeartbeats sends a heartbeat to all daemons.
-func (g *gossip) sendHeartbeats(now time.Time) {
-	addresses, interval := g.daemon.members.heartbeatTargets()
-	if now.Sub(g.heartbeatAt) < interval-digestInterval/2 {
+// sendSums sends the sums of this daemon's data centre to the other hubs.
+func (g *gossip) sendSums(allCounts bool, now time.Time) {
+	d := g.daemon
+	targets := d.members.sumTargets(now)
+	if len(targets) == 0 {
 		return
 	}
-	g.heartbeatAt = now
-	var heartbeat message
-	g.addSender(&heartbeat)
-	for _, address := range addresses {
-		g.send(heartbeat, address)
+	m := d.tables.sums(now, d.age(now) < startupAge, allCounts)
+	count, silent := d.tables.centreDaemons(d.members.all(), now)
+	m.Sum, m.Totals = true, &totals{Daemons: count, Silent: silent, Roster: d.tables.rosterHash(now)}
+	d.freshness.fillTotals(m.Totals, true, now)
+	g.addSender(&m)
+	data := encode(d, m)
+	for _, t := range targets {
+		g.write(data, 0, t)
 	}
 }
 
-// sendTotals sends each follower of this daemon the totals over all other daemons.
+// sendTotals sends each follower of this daemon the totals over all daemons. They are encoded once for
+// all; a follower subtracts its own part.
 func (g *gossip) sendTotals(now time.Time) {
 	d := g.daemon
-	prefixes := d.tables.drainAllPrefixes()
-	followers := d.tables.followers(now)
-	if len(followers) == 0 {
+	sequences := d.tables.followers(now)
+	if len(sequences) == 0 {
 		return
 	}
-	t := totals{Daemons: d.members.count(), Silent: d.tables.silentDaemons(now)}
-	d.freshness.fillTotals(&t, now)
-	t.Roster = d.tables.rosterHash(now)
-	clusterTotals := d.tables.clusterTotals(now, d.age(now) < startupAge)
-	for _, k := range d.members.activeSince(now.Add(-followTTL)) {
-		if !followers[k.Name] {
-			continue
-		}
-		m := clusterTotals.excluding(k.Name)
-		g.addSender(&m)
-		m.Totals, m.Prefixes = &t, prefixes
-		g.send(m, k.Address)
+	m := d.tables.totals(now, d.age(now) < startupAge)
+	m.Totals = &totals{Daemons: d.members.count(), Silent: d.tables.silentDaemons(now), Roster: d.tables.rosterHash(now)}
+	d.freshness.fillTotals(m.Totals, false, now)
+	g.addSender(&m)
+	data := encode(d, m)
+	for name, sequence := range sequences {
+		g.write(data, sequence, target{name, d.members.addressOf(name)})
 	}
 }
 
-// sendChanges sends changes of endpoints to this daemon's followers.
+// sendChanges sends changes of endpoints to this daemon's followers. The reader sends them to the
+// other hubs too.
 func (g *gossip) sendChanges(changes []roster.Change) {
-	g.sendToFollowers(func() message { return g.daemon.tables.changesMessage(changes) })
+	targets := g.audience()
+	for part := range slices.Chunk(changes, maxChangesPerMessage) {
+		g.sendTo(targets, func() message { return g.daemon.tables.changesMessage(part) })
+	}
 }
 
-// sendOperators forwards operators' records to this daemon's followers. Followers read records that
-// don't fit into a datagram themselves.
+// sendOperators forwards operators' records that this daemon has read. Others read records that don't
+// fit into a datagram themselves.
 func (g *gossip) sendOperators(from, next int64, records []Record) {
 	size := 0
 	for _, r := range records {
@@ -249,55 +317,91 @@
 	if size == 0 || size > maxForwardedBytes {
 		return
 	}
-	g.sendToFollowers(func() message { return message{Operators: records, OperatorsFrom: from, OperatorsNext: next} })
+	g.sendTo(g.audience(), func() message { return message{Operators: records, OperatorsFrom: from, OperatorsNext: next} })
 }
 
-// sendToFollowers sends a message to this daemon's followers. It builds the message only if there are
-// any.
-func (g *gossip) sendToFollowers(build func() message) {
-	d := g.daemon
-	if g.conn.Load() == nil {
-		return
+// followers returns the daemons that follow this one.
+func (g *gossip) followers() []target {
+	var targets []target
+	for name := range g.daemon.tables.followers(g.daemon.clock.now()) {
+		targets = append(targets, target{name, g.daemon.members.addressOf(name)})
 	}
-	now := d.clock.now()
-	followers := d.tables.followers(now)
-	if len(followers) == 0 {
+	return targets
+}
+
+// audience returns the daemons that this one informs of what it reads: its followers, and if it is the
+// reader, the other hubs.
+func (g *gossip) audience() []target {
+	targets := g.followers()
+	now := g.daemon.clock.now()
+	if _, isHub := g.daemon.members.currentHub(now); isHub && g.daemon.members.isReader(now) {
+		targets = append(targets, g.daemon.members.otherHubs(now)...)
+	}
+	return targets
+}
+
+// sendTo sends a message to daemons. It builds the message only if there are any.
+func (g *gossip) sendTo(targets []target, build func() message) {
+	if g.conn.Load() == nil || len(targets) == 0 {
 		return
 	}
 	m := build()
 	g.addSender(&m)
-	for _, k := range d.members.activeSince(now.Add(-followTTL)) {
-		if followers[k.Name] {
-			g.send(m, k.Address)
-		}
+	data := encode(g.daemon, m)
+	for _, t := range targets {
+		g.write(data, 0, t)
 	}
 }
 
+// send sends a message to one daemon.
+func (g *gossip) send(m message, acknowledged int64, to target) {
+	g.addSender(&m)
+	g.write(encode(g.daemon, m), acknowledged, to)
+}
+
 // addSender sets the fields that describe the sender.
 func (g *gossip) addSender(m *message) {
 	d := g.daemon
+	now := d.clock.now()
 	m.Daemon, m.Incarnation, m.Control = d.settings.Name, d.incarnation, d.settings.ControlListen
 	m.DataCentre, m.Speed = d.settings.DataCentre, d.settings.Speed
 	m.TimeMS = d.clock.localNow().UnixMilli()
-	now := d.clock.now()
 	m.AgeMS = d.age(now).Milliseconds()
-	m.ReadAgeMS = d.freshness.ownReadAge(now).Milliseconds()
+	informedAt, ownReadAt := d.freshness.readTimes(Endpoints)
+	m.ReadAgeMS, m.OwnReadAgeMS = ageMS(informedAt, now), ageMS(ownReadAt, now)
 	m.Fence = d.leader.fence()
 	m.Config = d.tables.configVersion()
+	d.members.use(func(s *hubs.State) {
+		for _, r := range s.Referrals(now) {
+			m.Referrals = append(m.Referrals, newReferral(r, now))
+		}
+	})
 }
 
-func (g *gossip) send(m message, address string) {
-	data, err := cbor.Marshal(m)
+// encode returns the datagram of a message, or nil if it can't be encoded.
+func encode(d *Daemon, m message) datagram {
+	body, err := cbor.Marshal(m)
 	if err != nil {
-		g.daemon.logger.WithName("gossip").Error(err, "Message can't be encoded.")
+		d.logger.WithName("gossip").Error(err, "Message can't be encoded.")
+		return nil
+	}
+	return append(make(datagram, acknowledgementBytes, acknowledgementBytes+len(body)), body...)
+}
+
+// write sends a datagram.
+func (g *gossip) write(data datagram, acknowledged int64, to target) {
+	conn := g.conn.Load()
+	if conn == nil || data == nil {
 		return
 	}
-	udp, err := net.ResolveUDPAddr("udp4", address)
+	address, err := netip.ParseAddrPort(to.address)
 	if err != nil {
-		g.daemon.logger.WithName("gossip").Info("Peer address invalid.", "Address", address, "Error", err.Error())
+		g.daemon.logger.WithName("gossip").Info("Peer address invalid.", "Daemon", to.name, "Address", to.address, "Error", err.Error())
 		return
 	}
+	binary.BigEndian.PutUint64(data, uint64(acknowledged))
 	// A datagram that can't be sent counts as lost; the next message repeats it.
-	_, _ = g.conn.Load().WriteToUDP(data, udp)
+	_, _ = conn.WriteToUDPAddrPort(data, address)
 	g.daemon.meters.count("Digests.Sent")
+	g.daemon.meters.add("Digests.SentBytes", int64(len(data)))
 }
--- a/entryd/relay/logs.go
+++ b/entryd/relay/logs.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,8 @@
 )
 
 const (
+	// maxChangeLines is the number of changes at once that get a line each.
+	maxChangeLines = 8
 	// queuedLines and linesPerSecond limit the log under load: a daemon at its share of the peak
 	// writes fewer than 200 lines a second.
 	queuedLines    = 1024
@@ -103,15 +106,25 @@
 	return log.New(serverLog{logger: logger.WithName("server")}, "", 0)
 }
 
-// logChanges writes a line for each change of an endpoint. It closes the idle connections to an
+// logChanges writes a line for each change of an endpoint, or if there are many at once, a line for each
+// kind of change. It closes the idle connections to an
 // endpoint that has restarted, left or gone.
 func (d *Daemon) logChanges(changes []roster.Change) {
+	logger := d.logger.WithName("endpoints")
+	byReason := map[roster.Reason][]string{}
 	for _, c := range changes {
 		e := c.Endpoint
-		d.logger.WithName("endpoints").Info("Endpoint changed.", "Reason", c.Reason, "Endpoint", e.ID, "Service", e.Service,
-			"Address", e.Address, "DataCentre", e.DataCentre, "Version", e.Version, "Reclaimable", e.Reclaimable)
+		if len(changes) > maxChangeLines {
+			byReason[c.Reason] = append(byReason[c.Reason], e.ID)
+		} else {
+			logger.Info("Endpoint changed.", "Reason", c.Reason, "Endpoint", e.ID, "Service", e.Service,
+				"Address", e.Address, "DataCentre", e.DataCentre, "Version", e.Version, "Reclaimable", e.Reclaimable)
+		}
 		if c.Reason != roster.Joined && c.Reason != roster.Updated {
 			d.pool.closeIdle(e.Address)
 		}
 	}
+	for reason, ids := range byReason {
+		logger.Info("Endpoints changed.", "Reason", reason, "Endpoints", strings.Join(ids, " "))
+	}
 }
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -5,12 +5,20 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lentilstage.dev/decide/hubs"
 	"lentilstage.dev/decide/shift"
 	"lentilstage.dev/decide/suspect"
 )
 
 type (
-	// message is a datagram between daemons. Numbered fields keep it small.
+	// message is a datagram between daemons. Numbered fields keep it small. Its kind follows from the
+	// fields that are set:
+	//
+	//   - Digest: a daemon's own loads and usage, for its hub
+	//   - Totals: those of all daemons, for a hub's followers
+	//   - Sum: those of a hub and its followers, for other hubs
+	//   - Operators, Put, Gone: changes, for followers and from the reader for hubs
+	//   - Probe: a daemon introduces itself and asks for a message in return
 	message struct {
 		Daemon      string  `cbor:"1,keyasint"`
 		Incarnation string  `cbor:"2,keyasint"`
@@ -19,14 +27,25 @@
 		Speed       float64 `cbor:"5,keyasint"`
 		Config      int64   `cbor:"6,keyasint,omitempty"`
 		TimeMS      int64   `cbor:"7,keyasint"`
-		// Digest marks a digest. A heartbeat contains only the fields that describe the sender.
-		Digest bool `cbor:"18,keyasint,omitempty"`
-		// Loads and Used are the sender's own in a digest; in totals they are those of all daemons
-		// but the receiver.
+		Digest      bool    `cbor:"18,keyasint,omitempty"`
+		Sum         bool    `cbor:"33,keyasint,omitempty"`
+		Probe       bool    `cbor:"34,keyasint,omitempty"`
+		// Sequence is the number of a digest. Totals acknowledge it.
+		Sequence int64 `cbor:"32,keyasint,omitempty"`
+		// Loads and Used are the sender's own in a digest, those of all daemons in totals, and those
+		// of a data centre in sums.
 		Loads map[uint32]load  `cbor:"8,keyasint,omitempty"`
 		Used  map[string]int64 `cbor:"9,keyasint,omitempty"`
-		// ReadAgeMS is the time since the sender's own last read of the endpoints.
-		ReadAgeMS int64 `cbor:"22,keyasint"`
+		// LoadsFrom and LoadsTo are the first and the last identifier that Loads covers. Endpoints
+		// in the range that Loads leaves out have no load.
+		LoadsFrom uint32 `cbor:"35,keyasint,omitempty"`
+		LoadsTo   uint32 `cbor:"36,keyasint,omitempty"`
+		// Referrals describe daemons that the sender has heard of.
+		Referrals []referral `cbor:"37,keyasint,omitempty"`
+		// ReadAgeMS is the time since the last read of the endpoints that informs the sender,
+		// OwnReadAgeMS since its own.
+		ReadAgeMS    int64 `cbor:"22,keyasint"`
+		OwnReadAgeMS int64 `cbor:"38,keyasint"`
 		// Breaks counts the broken attempts of suspect requests. Quarantined holds the requests in
 		// quarantine, each with how often it was quarantined.
 		Breaks      map[suspect.Key]int `cbor:"24,keyasint,omitempty"`
@@ -39,7 +58,8 @@
 		// sender's start.
 		Recent map[string]int64 `cbor:"19,keyasint,omitempty"`
 		AgeMS  int64            `cbor:"20,keyasint"`
-		// Counts are the sender's requests of each client account, by usage window.
+		// Counts are the requests of each client account, by usage window: the sender's own in a
+		// digest, those of its data centre in a sum.
 		Counts map[int64]map[string]int64 `cbor:"10,keyasint,omitempty"`
 		// Fence is the fencing number if the sender holds the lease.
 		Fence int64 `cbor:"11,keyasint,omitempty"`
@@ -75,13 +95,29 @@
 		Ended   shift.Status `cbor:"6,keyasint,omitempty"`
 	}
 
-	// totals is a hub's report about itself and all daemons.
+	// referral is what a message says about another daemon than its sender.
+	referral struct {
+		Name         string  `cbor:"1,keyasint"`
+		Address      string  `cbor:"2,keyasint"`
+		Control      string  `cbor:"3,keyasint,omitempty"`
+		DataCentre   string  `cbor:"4,keyasint"`
+		Speed        float64 `cbor:"5,keyasint"`
+		Incarnation  string  `cbor:"6,keyasint"`
+		Config       int64   `cbor:"7,keyasint,omitempty"`
+		HoldsLease   bool    `cbor:"8,keyasint,omitempty"`
+		ReadAgeMS    int64   `cbor:"9,keyasint"`
+		OwnReadAgeMS int64   `cbor:"10,keyasint"`
+		SeenAgeMS    int64   `cbor:"11,keyasint"`
+	}
+
+	// totals is a hub's report about the daemons of its totals or sums, and about its reads.
 	totals struct {
+		// Daemons is the number of daemons, the hub included.
 		Daemons int `cbor:"1,keyasint"`
-		// Silent is the number of daemons that the hub receives no messages from.
+		// Silent is the number of those that the hub receives no messages from.
 		Silent int `cbor:"8,keyasint,omitempty"`
-		// OperatorsAgeMS is the time since the hub's last read of the operators' stream. The age of
-		// its read of the endpoints is the message's ReadAgeMS.
+		// OperatorsAgeMS is the time since the last read of the operators' stream that informs the
+		// hub, in sums since its own. That of the endpoints is in the message.
 		OperatorsAgeMS int64 `cbor:"3,keyasint"`
 		// OperatorsNext is the offset after the last operators' record that the hub has read.
 		OperatorsNext int64 `cbor:"9,keyasint,omitempty"`
@@ -120,5 +156,46 @@
 // endpoints with the same identifier would share their loads, which is harmless.
 func shortID(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
-// readAge returns the time since the sender's own last read of the endpoints.
-func (m message) readAge() time.Duration { return time.Duration(m.ReadAgeMS) * time.Millisecond }
+// ago returns the time at which something was that old in milliseconds.
+func ago(ageMS int64, now time.Time) time.Time {
+	return now.Add(-time.Duration(ageMS) * time.Millisecond)
+}
+
+// report returns what the message says about its sender.
+func (m message) report(address string, now time.Time) hubs.Report {
+	return hubs.Report{
+		Member: hubs.Member{
+			Name: m.Daemon, Address: address, Control: m.Control, DataCentre: m.DataCentre, Speed: m.Speed, Incarnation: m.Incarnation,
+		},
+		Config: m.Config, HoldsLease: m.Fence > 0, ReadAt: ago(m.ReadAgeMS, now), OwnReadAt: ago(m.OwnReadAgeMS, now),
+	}
+}
+
+// report returns what a referral says about its subject.
+func (r referral) report(now time.Time) hubs.Report {
+	return hubs.Report{
+		Member: hubs.Member{
+			Name: r.Name, Address: r.Address, Control: r.Control, DataCentre: r.DataCentre, Speed: r.Speed, Incarnation: r.Incarnation,
+		},
+		Config: r.Config, HoldsLease: r.HoldsLease, ReadAt: ago(r.ReadAgeMS, now), OwnReadAt: ago(r.OwnReadAgeMS, now),
+		SeenAt: ago(r.SeenAgeMS, now),
+	}
+}
+
+// newReferral returns the referral of a report.
+func newReferral(r hubs.Report, now time.Time) referral {
+	return referral{
+		Name: r.Name, Address: r.Address, Control: r.Control, DataCentre: r.DataCentre, Speed: r.Speed, Incarnation: r.Incarnation,
+		Config: r.Config, HoldsLease: r.HoldsLease, ReadAgeMS: ageMS(r.ReadAt, now), OwnReadAgeMS: ageMS(r.OwnReadAt, now),
+		SeenAgeMS: ageMS(r.SeenAt, now),
+	}
+}
+
+// ageMS returns the age of a time in milliseconds, at most maxAge, which also stands for a time that
+// is not set.
+func ageMS(at, now time.Time) int64 {
+	return min(now.Sub(at), maxAge).Milliseconds()
+}
+
+// maxAge limits the ages in messages.
+const maxAge = time.Hour
--- a/entryd/relay/meters.go
+++ b/entryd/relay/meters.go
@@ -28,6 +28,11 @@
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
 }
 
+// add adds an amount to a counter.
+func (m *meters) add(name string, amount int64) {
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(amount)
+}
+
 // setGauge sets the value of a gauge.
 func (m *meters) setGauge(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, m.registry).Update(value)
--- a/entryd/relay/prefixes.go
+++ b/entryd/relay/prefixes.go
@@ -14,9 +14,10 @@
 	prefixTable struct {
 		ttl       time.Duration
 		expiresAt map[prefixKey]time.Time
-		// ownPending holds the parts that this daemon has sent since its last digest, and allPending
-		// those that any daemon has sent since the last totals to followers.
-		ownPending, allPending pendingParts
+		// ownPending holds the parts that this daemon has sent since its last digest, centrePending
+		// those of its data centre since the last sums, and allPending those that any daemon has sent
+		// since the last totals.
+		ownPending, centrePending, allPending pendingParts
 	}
 
 	// prefixKey identifies a part of prompts at an engine, by short identifiers.
@@ -66,18 +67,23 @@
 		t.expiresAt[key] = now.Add(t.ttl)
 		if i < len(parts)-1 && float64(left) < (1-resendFraction)*float64(t.ttl) {
 			t.ownPending.add(key)
+			t.centrePending.add(key)
 			t.allPending.add(key)
 		}
 	}
 }
 
-// observe adds the parts that another daemon has reported. A hub reports them to its followers.
-func (t *prefixTable) observe(parts prefixParts, now time.Time) {
+// observe adds the parts that another daemon has reported. A hub reports them to its followers, and
+// those of its own data centre to the other hubs.
+func (t *prefixTable) observe(parts prefixParts, ownCentre bool, now time.Time) {
 	for endpoint, list := range parts {
 		for _, part := range list {
 			key := prefixKey{endpoint, part}
 			t.expiresAt[key] = now.Add(t.ttl)
 			t.allPending.add(key)
+			if ownCentre {
+				t.centrePending.add(key)
+			}
 		}
 	}
 }
@@ -109,9 +115,10 @@
 	maps.DeleteFunc(t.expiresAt, func(key prefixKey, _ time.Time) bool { return key.endpoint == id })
 }
 
-// drainOwn and drainAll return the pending parts and clear them.
-func (t *prefixTable) drainOwn() prefixParts { return t.ownPending.drain() }
-func (t *prefixTable) drainAll() prefixParts { return t.allPending.drain() }
+// drainOwn, drainCentre and drainAll return the pending parts and clear them.
+func (t *prefixTable) drainOwn() prefixParts    { return t.ownPending.drain() }
+func (t *prefixTable) drainCentre() prefixParts { return t.centrePending.drain() }
+func (t *prefixTable) drainAll() prefixParts    { return t.allPending.drain() }
 
 func (p *pendingParts) drain() prefixParts {
 	drained := p.parts
--- a/entryd/relay/prefixes_test.go
+++ b/entryd/relay/prefixes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -28,7 +29,7 @@
 	now := time.Unix(1000, 0)
 	one, other := newPrefixTable(9*time.Second), newPrefixTable(9*time.Second)
 	one.place("engine-1", promptParts("session-1", "request-1"), now)
-	other.observe(one.drainOwn(), now)
+	other.observe(one.drainOwn(), true, now)
 	next := shortParts(promptParts("session-1", "request-2"))
 	if got := other.tokens(shortID("engine-1"), next, now); got != 6300 {
 		t.Errorf("%d tokens count as cached, want 6300", got)
@@ -104,8 +105,8 @@
 	other.place("engine-1", promptParts("session-1", "request-1"), now)
 	tables.observe(message{
 		Daemon: "entry-2", Incarnation: "1", Prefixes: other.drainOwn(),
-		Loads: map[uint32]load{shortID("engine-1"): {Requests: 9, Reading: 30000}},
-	}, now)
+		Loads: map[uint32]load{shortID("engine-1"): {Requests: 9, Reading: 30000}}, LoadsTo: math.MaxUint32,
+	}, now.Add(time.Second), now)
 	call := Call{PromptTokens: 9000, Parts: promptParts("session-1", "request-2")}
 	endpoint, _, placed, ok := tables.place(placeRequest{service: "pool", call: call, target: time.Second}, now, func() float64 { return 0 })
 	if !ok || endpoint.ID != "engine-2" || placed.source != "127.0.0.1:1" {
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -37,22 +37,32 @@
 		usage    *usage.State
 		// own holds the load that this daemon places on each endpoint.
 		own map[string]choice.Load
-		// peers holds the state of the daemons that send digests to this one, hubState that of the
-		// hub's totals. followsHub selects which of the two applies.
+		// peers holds the state of the followers, which send digests to this daemon, centres that of
+		// the other data centres by their hubs' sums, and hubState that of the own hub's totals.
+		// followsHub selects which of them apply.
 		peers      map[string]peerState
+		centres    map[string]peerState
 		hubState   peerState
 		followsHub bool
 		hub        string
 		// work is the engine time of the requests that this daemon has placed, in milliseconds by
-		// service. peerWork is that of the other daemons since their first digests arrived here.
-		work     map[string]float64
-		peerWork map[string]float64
-		// pastUsed is the usage of ended processes, by client account.
-		pastUsed map[string]int64
+		// service. peerWork and centreWork are those of the followers and of the other data centres
+		// since their first messages arrived here.
+		work, peerWork, centreWork map[string]float64
+		// pastUsed is the usage of ended processes of the own data centre, by client account,
+		// pastUsedElsewhere that of the other data centres under their former hubs.
+		pastUsed, pastUsedElsewhere map[string]int64
+		// ownParts are the contents of the last digests, oldest first.
+		ownParts []ownPart
+		// sumCursor and totalsCursor are the identifiers at which the loads in the next messages
+		// start.
+		sumCursor, totalsCursor uint32
 		// endpoints and endpointsHash are derived from the roster and out of date while stale is set.
 		endpoints     []setup.Endpoint
 		endpointsHash uint64
-		stale         bool
+		// endpointHashes are the hashes of the endpoints by bucket.
+		endpointHashes rosterHashes
+		stale          bool
 		// prefixTable records the parts of prompts that engines have cached.
 		prefixTable *prefixTable
 		rollouts    map[string]*rollout
@@ -62,14 +72,19 @@
 		misdirected map[string]int64
 	}
 
-	// peerState is the last digest of a daemon, or the last totals of the hub.
+	// peerState is the last digest of a daemon, the last sums of a data centre, or the last totals of
+	// the hub.
 	peerState struct {
 		receivedAt  time.Time
 		incarnation string
 		starting    bool
-		loads       map[uint32]load
-		used        map[string]int64
-		// counted is the part of used that was added since the daemon's first digest arrived here.
+		// sequence is the number of the last digest.
+		sequence int64
+		loads    map[uint32]load
+		used     map[string]int64
+		// recent is the part of used by processes that have just started.
+		recent map[string]int64
+		// counted is the part of used that was added since the peer's first message arrived here.
 		counted  map[string]int64
 		work     map[string]int64
 		outcomes map[string]outcomes
@@ -119,8 +134,9 @@
 		records: map[Stream]map[string]Record{Operators: {}, Endpoints: {}},
 		roster:  roster.New(), health: health.New(settings), quota: quota.New(start, quotaPhase(s.Name)),
 		usage: usage.New(s.Name, incarnation, window),
-		own:   map[string]choice.Load{}, peers: map[string]peerState{},
-		pastUsed: map[string]int64{}, work: map[string]float64{}, peerWork: map[string]float64{},
+		own:   map[string]choice.Load{}, peers: map[string]peerState{}, centres: map[string]peerState{},
+		pastUsed: map[string]int64{}, pastUsedElsewhere: map[string]int64{},
+		work: map[string]float64{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, suspects: suspect.New(),
 	}
@@ -238,10 +254,12 @@
 	}
 	t.stale = false
 	t.endpoints = t.roster.Endpoints()
-	t.endpointsHash = 0
+	t.endpointsHash, t.endpointHashes = 0, rosterHashes{}
 	var members []health.Member
 	for _, e := range t.endpoints {
-		t.endpointsHash ^= xxhash.Sum64String(fmt.Sprint(e.ID, e.Address, e.State, e.StartedAtMS))
+		hash := xxhash.Sum64String(fmt.Sprint(e.ID, e.Address, e.State, e.StartedAtMS))
+		t.endpointsHash ^= hash
+		t.endpointHashes[bucketOf(e.ID)] ^= hash
 		members = append(members, health.Member{Instance: e.ID, DataCentre: e.DataCentre, Routes: []string{e.Service}})
 	}
 	t.health, _ = t.health.Update(health.Listing{Time: now, Endpoints: members})
@@ -295,13 +313,14 @@
 		return t.hubState.loads
 	}
 	sum := map[uint32]load{}
-	t.addPeerLoads(sum, now)
+	addPeerLoads(sum, t.peers, now)
+	addPeerLoads(sum, t.centres, now)
 	return sum
 }
 
-// addPeerLoads adds the recent loads of the other daemons to a sum.
-func (t *tables) addPeerLoads(sum map[uint32]load, now time.Time) {
-	for _, p := range t.peers {
+// addPeerLoads adds the recent loads of peers to a sum.
+func addPeerLoads(sum map[uint32]load, peers map[string]peerState, now time.Time) {
+	for _, p := range peers {
 		if now.Sub(p.receivedAt) > loadTTL {
 			continue
 		}
--- a/entryd/relay/tables_bench_test.go
+++ b/entryd/relay/tables_bench_test.go
@@ -32,7 +32,7 @@
 		for i := range open {
 			loads[shortID(ids[(d*7+i*13)%endpoints])] = load{Requests: 1, Reading: 500, Memory: 5000}
 		}
-		tables.observe(message{Daemon: fmt.Sprint("entry-", d), Incarnation: "1", Loads: loads}, now)
+		tables.observe(message{Daemon: fmt.Sprint("entry-", d), Incarnation: "1", Loads: loads}, now.Add(time.Second), now)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/entryd/relay/tables_test.go
+++ b/entryd/relay/tables_test.go
@@ -28,9 +28,9 @@
 	if load := tables.load("e1", tables.peerLoads(now)); load.Requests != 1 || load.Reading != 4000 {
 		t.Errorf("load %+v, want 1 request and 4000 tokens to read", load)
 	}
-	tables.observe(message{Daemon: "entry-2", Incarnation: "1", Work: map[string]int64{"pool": 100}}, now)
-	tables.observe(message{Daemon: "entry-2", Incarnation: "1", Work: map[string]int64{"pool": 600}, Used: map[string]int64{"a": 7}}, now)
-	tables.observe(message{Daemon: "entry-2", Incarnation: "2"}, now)
+	tables.observe(message{Daemon: "entry-2", Incarnation: "1", Work: map[string]int64{"pool": 100}}, now.Add(time.Second), now)
+	tables.observe(message{Daemon: "entry-2", Incarnation: "1", Work: map[string]int64{"pool": 600}, Used: map[string]int64{"a": 7}}, now.Add(time.Second), now)
+	tables.observe(message{Daemon: "entry-2", Incarnation: "2"}, now.Add(time.Second), now)
 	ready, work := tables.serviceState("pool", now)
 	if len(ready) != 1 || work < 0.6 || work > 0.7 {
 		t.Errorf("ready endpoints %v with work of %.3f s, want one kind and 0.6 to 0.7 s", ready, work)
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"lentilstage.dev/decide/roster"
 )
 
 type (
@@ -16,8 +18,8 @@
 		// starts of two reads.
 		wait        time.Duration
 		minInterval time.Duration
-		// apply applies one record; onListing, if set, the keys of a full read.
-		apply        func(Record)
+		// apply applies records; onListing, if set, the keys of a full read.
+		apply        func([]Record)
 		onListing    func(end int64, keys []string)
 		setReachable func(reachable bool)
 		// forward, if set, sends the records between two offsets to followers.
@@ -44,7 +46,7 @@
 	// readSlack is the time that a response may take beyond its wait.
 	readSlack = 900 * time.Millisecond
 	// idleInterval is the pause between checks of a daemon whose hub reads for it.
-	idleInterval = 50 * time.Millisecond
+	idleInterval = 100 * time.Millisecond
 	// readRetryDelay follows a failed read of a hub, or of a daemon that has read nothing yet. Others
 	// rely on their hub's next read and retry less often, since failed calls are billed too: with 68
 	// daemons an outage of 6 s cost 2,100 calls.
@@ -55,7 +57,7 @@
 // watchOperators reads the operators' stream.
 func (d *Daemon) watchOperators(ctx context.Context) error {
 	s := &streamReader{
-		daemon: d, stream: Operators, wait: operatorsWait, apply: d.applyOperatorRecord,
+		daemon: d, stream: Operators, wait: operatorsWait, apply: d.applyOperatorRecords,
 		setReachable: func(reachable bool) { d.operatorsUnreachable.Store(!reachable) },
 		forward:      d.gossip.sendOperators,
 		newerKnown: func() bool {
@@ -69,7 +71,7 @@
 // watchEndpoints reads the endpoints' registrations.
 func (d *Daemon) watchEndpoints(ctx context.Context) error {
 	s := &streamReader{
-		daemon: d, stream: Endpoints, wait: endpointsWait, minInterval: endpointsInterval, apply: d.applyEndpointRecord,
+		daemon: d, stream: Endpoints, wait: endpointsWait, minInterval: endpointsInterval, apply: d.applyEndpointRecords,
 		onListing:    func(end int64, keys []string) { d.publishChanges(d.tables.applyListing(end, keys, d.clock.now())) },
 		setReachable: d.setEndpointsReachable,
 	}
@@ -112,12 +114,16 @@
 // mustRead reports whether this daemon must read the stream itself.
 func (s *streamReader) mustRead(now time.Time) bool {
 	d := s.daemon
-	hub, isHub := d.members.currentHub(now)
-	if isHub || !s.synced || hub.DataCentre != d.settings.DataCentre {
-		// A hub of another data centre is used only while no daemon of this one can read the log.
+	if _, isHub := d.members.currentHub(now); !s.synced || isHub && d.members.isReader(now) {
 		return true
 	}
-	return !d.freshness.hubFresh(s.stream, now)
+	return !d.informed(s.stream, now)
+}
+
+// informed reports whether the reads of the daemon that informs this one are recent enough to rely on.
+func (d *Daemon) informed(stream Stream, now time.Time) bool {
+	_, isHub := d.members.currentHub(now)
+	return d.freshness.hubFresh(stream, isHub, d.members.interval(), now)
 }
 
 // readRetryDelay returns the pause after a failed read.
@@ -146,8 +152,8 @@
 		return err
 	}
 	from := s.nextOffset
+	s.apply(page.Records)
 	for _, r := range page.Records {
-		s.apply(r)
 		s.nextOffset = max(s.nextOffset, r.Offset+1)
 	}
 	if s.forward != nil {
@@ -165,8 +171,8 @@
 		return err
 	}
 	keys := make([]string, 0, len(page.Records))
+	s.apply(page.Records)
 	for _, r := range page.Records {
-		s.apply(r)
 		keys = append(keys, r.Key)
 	}
 	if s.onListing != nil {
@@ -197,6 +203,13 @@
 	s.daemon.logger.WithName("store").Info("Unreachable.", "Stream", s.stream, "Next", s.nextOffset, "Error", err.Error())
 }
 
+// applyOperatorRecords applies operators' records.
+func (d *Daemon) applyOperatorRecords(records []Record) {
+	for _, r := range records {
+		d.applyOperatorRecord(r)
+	}
+}
+
 // applyOperatorRecord applies an operators' record.
 func (d *Daemon) applyOperatorRecord(r Record) {
 	if r.Value == nil {
@@ -218,18 +231,25 @@
 	}
 }
 
-// applyEndpointRecord applies an endpoint's record.
-func (d *Daemon) applyEndpointRecord(r Record) {
+// applyEndpointRecords applies endpoints' records and publishes the changes together.
+func (d *Daemon) applyEndpointRecords(records []Record) {
+	var changes []roster.Change
+	for _, r := range records {
+		changes = append(changes, d.applyEndpointRecord(r)...)
+	}
+	d.publishChanges(changes)
+}
+
+// applyEndpointRecord applies an endpoint's record and returns the changes.
+func (d *Daemon) applyEndpointRecord(r Record) []roster.Change {
 	now := d.clock.now()
 	if r.Value == nil {
-		d.publishChanges(d.tables.deleteEndpoint(r, now))
-		return
+		return d.tables.deleteEndpoint(r, now)
 	}
 	endpoint, err := d.codec.Endpoint(r, now)
 	if err != nil {
 		d.logger.WithName("endpoints").Info("Record invalid.", "Key", r.Key, "Offset", r.Offset, "Error", err.Error())
-		d.publishChanges(d.tables.deleteEndpoint(r, now))
-		return
+		return d.tables.deleteEndpoint(r, now)
 	}
-	d.publishChanges(d.tables.putEndpoint(r, endpoint, now))
+	return d.tables.putEndpoint(r, endpoint, now)
 }
