relay, wire: responses without an identifier on used connections, and bytes without end

- A late copy of a response without the request's identifier was taken for the response to the next request on that connection: the next caller got another's response, or was told "not run" while its request ran.
Change: on a connection that was used before, only a response with the identifier counts.
TestLateCopies failed before (body "other", status 503).
- A head, or an event of many lines, was read without a limit until the deadline.
Change: 64 KiB a head, 1 MiB an event, 1 MiB of a response to another request.
TestFloods failed before: up to 243 MB were read for one request.

Chunk extensions, trailers and interim responses without end were bounded already; their cases passed with the old code.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -25,6 +26,8 @@
 		placed       *placement
 		sentAt       time.Time
 		endpointConn *endpointConn
+		// reused reports whether the connection has carried other requests.
+		reused bool
 		// stallTimer fails over to another endpoint if this one sends nothing for too long; nil if no
 		// other attempt may follow. stalled is set once it has done so.
 		stallTimer *time.Timer
@@ -49,6 +52,10 @@
 	maxInlineBytes = 16 << 10
 	// maxBufferedBytes is the largest response that is buffered before it is forwarded.
 	maxBufferedBytes = 1 << 20
+	// maxHeadBytes limits the head of a response, maxStaleBytes the body of a response to an earlier
+	// request: an endpoint in trouble may send bytes without end.
+	maxHeadBytes  = 64 << 10
+	maxStaleBytes = 1 << 20
 	// maxStaleResponses limits how many responses to earlier requests are skipped on a connection.
 	maxStaleResponses = 3
 	// stallFraction of the route's target is the stall timeout of an endpoint whose predicted wait is
@@ -85,7 +92,7 @@
 	if err != nil {
 		return a.dialFailed(err)
 	}
-	a.endpointConn = c
+	a.endpointConn, a.reused = c, reused
 	a.sentAt = x.daemon.clock.now()
 	_ = c.SetDeadline(x.deadline)
 	if x.mayRepeat() && sends+1 < x.route.MaxAttempts {
@@ -262,23 +269,27 @@
 // which may arrive late.
 func (a *attempt) readHead() (*http.Response, Reply, error) {
 	for range maxStaleResponses {
+		a.endpointConn.limitReads(maxHeadBytes)
 		response, err := http.ReadResponse(a.endpointConn.reader, &http.Request{Method: a.x.call.Method})
 		if err != nil {
 			return nil, Reply{}, err
 		}
+		a.endpointConn.limitReads(unlimited)
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		reply := a.x.daemon.codec.ReadReply(response.StatusCode, response.Header)
-		if reply.CallID == "" || reply.CallID == a.x.call.ID {
+		// On a connection that was used before, a response without an identifier may be a late copy of
+		// an earlier one.
+		if reply.CallID == a.x.call.ID || reply.CallID == "" && !a.reused {
 			return response, reply, nil
 		}
 		a.x.log("Response to another request skipped.", "Endpoint", a.endpoint.ID, "Other", reply.CallID)
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, Reply{}, errConnUnusable
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, Reply{}, err
+		if skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBytes)); err != nil || skipped == maxStaleBytes {
+			return nil, Reply{}, errors.Join(errConnUnusable, err)
 		}
 	}
 	return nil, Reply{}, errConnUnusable
--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -27,6 +27,8 @@
 		net.Conn
 		reader  *bufio.Reader
 		address string
+		// readable is the number of bytes that may still be read, or unlimited.
+		readable int
 		// usableUntil is when the endpoint may close the idle connection, idleAt when it became idle.
 		usableUntil time.Time
 		idleAt      time.Time
@@ -42,10 +44,16 @@
 	// maxIdlePerEndpoint limits the idle connections to one endpoint.
 	maxIdlePerEndpoint = 16
 	readBufferBytes    = 4096
+	// unlimited removes the limit of reads.
+	unlimited = -1
 )
 
-// errConnUnusable means that an idle connection was closed or has bytes that belong to no request.
-var errConnUnusable = errors.New("idle connection is not usable")
+var (
+	// errConnUnusable means that an idle connection was closed or has bytes that belong to no request.
+	errConnUnusable = errors.New("idle connection is not usable")
+	// errTooManyBytes means that an endpoint has sent more than a response may have.
+	errTooManyBytes = errors.New("response exceeds its limit")
+)
 
 func newPool() *pool { return &pool{idle: map[string][]*endpointConn{}} }
 
@@ -68,7 +76,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return &endpointConn{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), address: address}, false, nil
+	return newEndpointConn(conn, address), false, nil
 }
 
 func (p *pool) pop(address string) *endpointConn {
@@ -122,6 +130,28 @@
 	clear(p.idle)
 }
 
+func newEndpointConn(conn net.Conn, address string) *endpointConn {
+	c := &endpointConn{Conn: conn, address: address, readable: unlimited}
+	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c
+}
+
+// limitReads sets how many more bytes may be read from the network; unlimited removes the limit.
+func (c *endpointConn) limitReads(count int) { c.readable = count }
+
+// Read reads from the connection. It returns errTooManyBytes beyond the limit.
+func (c *endpointConn) Read(buffer []byte) (int, error) {
+	if c.readable == unlimited {
+		return c.Conn.Read(buffer)
+	}
+	if c.readable <= 0 {
+		return 0, errTooManyBytes
+	}
+	n, err := c.Conn.Read(buffer[:min(len(buffer), c.readable)])
+	c.readable -= n
+	return n, err
+}
+
 // checkIdle returns errConnUnusable unless the connection is open and has nothing to read.
 func (c *endpointConn) checkIdle() error {
 	if c.reader.Buffered() > 0 {
--- a/wire/wire/sse.go
+++ b/wire/wire/sse.go
@@ -25,12 +25,19 @@
 	}
 )
 
-// maxEventLine is the maximum length of a line in bytes. Without a limit, a faulty endpoint could
-// exhaust the memory.
-const maxEventLine = 1 << 20
+// maxEventLine and maxEventBytes are the maximum lengths of a line and of an event. Without a limit, a
+// faulty endpoint could exhaust the memory.
+const (
+	maxEventLine  = 1 << 20
+	maxEventBytes = 1 << 20
+)
 
-// ErrEventLine reports a line that exceeds the maximum length.
-var ErrEventLine = eris.New("server-sent event line is too long")
+var (
+	// ErrEventLine reports a line that exceeds the maximum length.
+	ErrEventLine = eris.New("server-sent event line is too long")
+	// ErrEventLength reports an event that exceeds the maximum length.
+	ErrEventLength = eris.New("server-sent event is too long")
+)
 
 // NewEventReader returns a reader of the stream's events.
 func NewEventReader(stream io.Reader) *EventReader {
@@ -39,7 +46,8 @@
 
 // Next returns the next event that has data and skips other events and comments. It returns
 // io.EOF at the end of the stream, io.ErrUnexpectedEOF if the stream ends within an event that
-// has data, ErrEventLine for a line that is too long, or the stream's error.
+// has data, ErrEventLine or ErrEventLength for a line or an event that is too long, or the stream's
+// error.
 func (r *EventReader) Next() (StreamEvent, error) {
 	var event StreamEvent
 	for {
@@ -66,6 +74,9 @@
 		if err := r.readLine(); err != nil {
 			return r.block, err
 		}
+		if len(r.block) > maxEventBytes {
+			return r.block, ErrEventLength
+		}
 		if len(bytes.TrimRight(r.block[start:], "\r\n")) == 0 {
 			return r.block, nil
 		}
@@ -91,6 +102,17 @@
 	}
 }
 
+// HasContent reports whether the raw bytes of an event have data or an identifier. An event of comments
+// only keeps a connection open and says nothing about the progress of the stream.
+func HasContent(block []byte) bool {
+	for name := range fields(block) {
+		if n := string(name); n == "data" || n == "id" {
+			return true
+		}
+	}
+	return false
+}
+
 // RawEventID returns the identifier in the raw bytes of an event, or an empty string.
 func RawEventID(block []byte) string {
 	var id []byte
