pace: the speed of engines is estimated from their responses

Change: decide/pace fits a line through the times to the first token at lightly loaded engines, and takes the median time between tokens. Predictions, fetches of cached prompts and the demand use it.

--- a/decide/choice/choice.go
+++ b/decide/choice/choice.go
@@ -19,6 +19,8 @@
 import (
 	"math"
 	"slices"
+
+	"lentilstage.dev/decide/pace"
 )
 
 type (
@@ -43,6 +45,8 @@
 		FetchPerMS float64
 		// Sources are endpoints that receive no more requests but may have a part of the prompt cached.
 		Sources []Candidate
+		// Pace is the speed of the engines; the zero value stands for pace.Default.
+		Pace pace.Estimate
 		// Target is the time in milliseconds within which the answer should begin.
 		Target float64
 		// Admits reports whether a choice would be admitted; nil admits all. If the best candidate of the
@@ -90,6 +94,8 @@
 		// Fetched the expected number of its tokens. Source is empty if no fetch is worth its time.
 		Source  string
 		Fetched int
+		// pace is the speed of the endpoint's engine.
+		pace pace.Estimate
 		// cost is the wait plus the cost of moved tokens, in milliseconds.
 		cost float64
 		// HasCapacity is set if the endpoint has a free slot and enough cache memory.
@@ -108,15 +114,10 @@
 }
 
 const (
-	// PrefillTokensPerMS is the number of prompt tokens that an engine computes per millisecond beside running
-	// requests. Documented rates of idle engines are 44 and 50.
-	PrefillTokensPerMS = 40
 	// runningRequestMS is the delay that each running request adds to the first token.
 	runningRequestMS = 0.8
 	// plainRequestMS is the usual time that a request to a plain service occupies a slot.
 	plainRequestMS = 50
-	// AnswerTokenMS is the usual time between two tokens of one request.
-	AnswerTokenMS = 8
 	// remotePenaltyMS is the penalty for another data centre: network delay and the price of traffic.
 	remotePenaltyMS = 3
 	// nearBestMS is the range above the lowest cost within which the choice is random.
@@ -140,6 +141,9 @@
 	if len(candidates) == 0 {
 		return Picked{}, false
 	}
+	if request.Pace == (pace.Estimate{}) {
+		request.Pace = pace.Default
+	}
 	s := newSelection(request, candidates)
 	sampled := sample(len(candidates), random)
 	picked := s.cheapest(candidates, random, func(i int) bool {
@@ -154,8 +158,18 @@
 // Queue returns the predicted wait in milliseconds without the computation of the request's own prompt.
 func (p Picked) Queue() float64 { return p.Wait - p.Own() }
 
-// Own returns the time in milliseconds to compute the uncached tokens of the request's own prompt.
-func (p Picked) Own() float64 { return float64(p.Uncached) / PrefillTokensPerMS }
+// Running returns the part of the predicted wait, in milliseconds, that is due to the requests that run
+// at the endpoint.
+func (p Picked) Running() float64 { return runningRequestMS * float64(p.Candidate.Load.Requests) }
+
+// Own returns the time in milliseconds that the engine needs for the request itself until its first
+// token.
+func (p Picked) Own() float64 {
+	if p.pace.PrefillPerMS == 0 {
+		return 0
+	}
+	return p.pace.FirstMS + float64(p.Uncached)/p.pace.PrefillPerMS
+}
 
 // sample returns random positions below count, possibly with repeats.
 func sample(count int, random func() float64) [sampleSize]int {
@@ -204,18 +218,19 @@
 		p.Wait, p.cost = wait, wait
 		return p
 	}
+	p.pace = request.Pace
 	fetch, transferCost := s.planPrefill(c, &p)
 	wait += fetch
-	wait += (c.Load.Reading + float64(p.Uncached)) / PrefillTokensPerMS
-	wait += runningRequestMS * float64(c.Load.Requests)
+	wait += c.Load.Reading/p.pace.PrefillPerMS + p.Own()
+	wait += p.Running()
 	if excess > 0 && c.Slots > 0 {
-		wait += AnswerTokenMS * float64(request.Answer) * float64(excess) / float64(c.Slots)
+		wait += p.pace.TokenMS * float64(request.Answer) * float64(excess) / float64(c.Slots)
 	}
 	if c.Memory > 0 {
 		headroom := float64(c.Memory)*(1-reservedMemoryFraction) - c.Load.Memory - float64(request.Prompt+request.Answer)
 		if headroom < 0 {
 			p.HasCapacity = false
-			wait += -headroom / PrefillTokensPerMS
+			wait += -headroom / p.pace.PrefillPerMS
 		}
 	}
 	p.Wait, p.cost = wait, wait+transferCost
--- a/decide/choice/selection.go
+++ b/decide/choice/selection.go
@@ -15,9 +15,8 @@
 const (
 	// fetchOverheadMS is the fixed time of a fetch, in milliseconds.
 	fetchOverheadMS = 2
-	// minFetchTokens is the least number of tokens that is worth a fetch. To compute them takes three
-	// times as long.
-	minFetchTokens = 250
+	// minFetchGain is how many times longer the engine must take to compute tokens than to fetch them.
+	minFetchGain = 2.4
 	// movedTokensPerMS is the number of tokens that adds a millisecond to the cost, besides their time,
 	// if they are fetched or are shared tokens computed away from the session's home engine: transfers
 	// cost money, and a second copy uses cache memory.
@@ -48,12 +47,21 @@
 	return s
 }
 
+// worthFetching reports whether an engine should fetch cached tokens from another one.
+func (s selection) worthFetching(tokens int) bool {
+	if s.request.FetchPerMS <= 0 || tokens <= 0 {
+		return false
+	}
+	fetch := fetchOverheadMS + float64(tokens)/s.request.FetchPerMS
+	return float64(tokens)/s.request.Pace.PrefillPerMS >= minFetchGain*fetch
+}
+
 // planPrefill sets in p how many prompt tokens the candidate computes and how many it fetches. It
 // returns the time of the fetch and the cost of moved tokens, both in milliseconds.
 func (s selection) planPrefill(c Candidate, p *Picked) (fetch, transferCost float64) {
 	p.Uncached = max(s.request.Prompt-c.Cached, 1)
 	fetchable := min(s.cacheHolder.Cached, s.request.Prompt-1) - c.Cached
-	if s.request.FetchPerMS > 0 && c.Version == s.cacheHolder.Version && fetchable >= minFetchTokens {
+	if s.worthFetching(fetchable) && c.Version == s.cacheHolder.Version {
 		p.Source, p.Fetched = s.cacheHolder.ID, fetchable
 		p.Uncached -= fetchable
 		fetch = fetchOverheadMS + float64(fetchable)/s.request.FetchPerMS
--- a/decide/hubs/hubs_test.go
+++ b/decide/hubs/hubs_test.go
@@ -37,7 +37,7 @@
 		// informedAt is the last read by which its hub informs the daemon, readerReadAt that by which
 		// the reader informs it as a hub.
 		informedAt, readerReadAt, ownReadAt time.Time
-		sent, reads           int
+		sent, reads                         int
 	}
 
 	script struct {
--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -193,7 +193,7 @@
 func engineTimeMS(r choice.Request, uncached, slots int) float64 {
 	token := sharedTokenMS
 	if slots > 0 {
-		token = max(token, choice.AnswerTokenMS/float64(slots))
+		token = max(token, r.Pace.TokenMS/float64(slots))
 	}
-	return float64(uncached)/choice.PrefillTokensPerMS + float64(r.Answer)*token
+	return float64(uncached)/r.Pace.PrefillPerMS + float64(r.Answer)*token
 }
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -7,12 +7,11 @@
 	"strings"
 	"time"
 
+	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/wire/wire"
 )
 
 const (
-	// maxEventBytes limits one event.
-	maxEventBytes = 1 << 20
 	// gapFactor times the route's target for the gap between events is the wait for the next event
 	// before the stream is resumed at another endpoint. minEventGap applies to routes with a short
 	// target.
@@ -20,9 +19,6 @@
 	minEventGap = time.Second
 )
 
-// errEventTooLong reports an event longer than maxEventBytes.
-var errEventTooLong = errors.New("event is too long")
-
 // forwardStream forwards the events of a response as they arrive. The header is sent with the first
 // event, so that another attempt may follow one without any event.
 func (a *attempt) forwardStream(response *http.Response) (outcome, error) {
@@ -30,12 +26,17 @@
 	events := wire.NewEventReader(response.Body)
 	flusher := http.NewResponseController(x.writer)
 	first := true
+	var firstAt time.Time
+	count := 0
 	for {
 		event, err := nextEvent(events)
 		if errors.Is(err, io.EOF) {
 			if !x.responseStarted {
 				x.startStream(response)
 			}
+			if engine := x.engine(); engine != nil && count > 1 {
+				x.daemon.tables.recordAnswer(x.service, (count-1)*engine.EventTokens, x.daemon.clock.now().Sub(firstAt))
+			}
 			return delivered, nil
 		}
 		if err != nil {
@@ -45,10 +46,15 @@
 			}
 			return a.classifyError(err), err
 		}
-		if first {
-			first = false
+		// Comments are forwarded, but a stream that sends nothing else has stalled.
+		content := wire.HasContent(event)
+		if first && content {
+			first, firstAt = false, x.daemon.clock.now()
 			a.recordFirstEvent()
 		}
+		if content {
+			count++
+		}
 		if !x.responseStarted {
 			x.startStream(response)
 		}
@@ -63,21 +69,21 @@
 				return callerGone, err
 			}
 		}
-		if a.stallTimer != nil && !a.stalled.Load() {
+		if a.stallTimer != nil && content && !a.stalled.Load() {
 			a.stallTimer.Reset(max(minEventGap, gapFactor*x.route.GapTarget))
 		}
 	}
 }
 
+// engine returns what is known of the engines that run the request; nil for a plain service.
+func (x *exchange) engine() *setup.Engine { return x.config.Services[x.service].Engine }
+
 // nextEvent returns the bytes of the next event. It returns io.EOF at the end of a complete stream
 // and io.ErrUnexpectedEOF if the stream ends within an event.
 func nextEvent(events *wire.EventReader) ([]byte, error) {
 	event, err := events.NextRaw()
-	switch {
-	case errors.Is(err, io.EOF) && len(event) > 0:
+	if errors.Is(err, io.EOF) && len(event) > 0 {
 		return nil, io.ErrUnexpectedEOF
-	case err == nil && len(event) > maxEventBytes:
-		return nil, errEventTooLong
 	}
 	return event, err
 }
@@ -88,6 +94,7 @@
 	x.daemon.tables.markPromptRead(a.placed)
 	x.countUsage()
 	now := x.daemon.clock.now()
+	x.daemon.tables.recordFirstToken(x.service, a.picked, now.Sub(a.sentAt))
 	x.daemon.meters.observe("FirstEvent.Milliseconds", now.Sub(x.arrived))
 	x.log("First event.", "Endpoint", a.endpoint.ID, "Predicted", int(a.picked.Wait),
 		"Milliseconds", now.Sub(a.sentAt).Milliseconds())
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -10,6 +10,7 @@
 
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
+	"lentilstage.dev/decide/pace"
 	"lentilstage.dev/decide/quota"
 	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/decide/suspect"
@@ -67,6 +68,8 @@
 		prefixTable *prefixTable
 		rollouts    map[string]*rollout
 		suspects    *suspect.State
+		// paces holds the observed speed of each service's engines.
+		paces map[string]*pace.State
 		// misdirected holds the endpoints whose address belongs to another endpoint, each with the
 		// time of its registration.
 		misdirected map[string]int64
@@ -110,6 +113,8 @@
 	loadTTL = 2 * time.Second
 	// defaultAnswerTokens is assumed for a request that does not state the length of its response.
 	defaultAnswerTokens = 100
+	// lightLoad is the fraction of an engine's slots up to which its times tell its speed.
+	lightLoad = 0.25
 	// noSilenceTimeout disables health decisions by silence, since endpoints here send no load
 	// reports.
 	noSilenceTimeout = 24 * time.Hour
@@ -138,7 +143,7 @@
 		pastUsed: map[string]int64{}, pastUsedElsewhere: map[string]int64{},
 		work: map[string]float64{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
-		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, suspects: suspect.New(),
+		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, suspects: suspect.New(), paces: map[string]*pace.State{},
 	}
 }
 
@@ -404,6 +409,7 @@
 	defer t.mutex.Unlock()
 	t.refresh(now)
 	request := choiceRequest(t.config, r.service, r.call)
+	request.Pace = t.pace(r.service).Estimate()
 	request.Target, request.Admits = float64(r.target.Milliseconds()), r.fits
 	candidates, leaving := t.candidates(r.service, r.call, r.tried, now)
 	candidates, request.Sources = t.filterByVersion(r.service, candidates, random()), leaving
@@ -429,6 +435,35 @@
 	return endpoint, picked, p, true
 }
 
+// pace returns the observed speed of a service's engines. The caller holds the lock.
+func (t *tables) pace(service string) *pace.State {
+	s := t.paces[service]
+	if s == nil {
+		s = pace.New()
+		t.paces[service] = s
+	}
+	return s
+}
+
+// recordFirstToken records the time to the first token of a placed call, if the engine had nothing else
+// to compute as far as this daemon knows.
+func (t *tables) recordFirstToken(service string, picked choice.Picked, wait time.Duration) {
+	load, slots := picked.Candidate.Load, picked.Candidate.Slots
+	if picked.Fetched > 0 || load.Reading > 0 || float64(load.Requests) > lightLoad*float64(slots) {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.pace(service).RecordFirst(pace.First{Tokens: picked.Uncached, Wait: wait - milliseconds(picked.Running())})
+}
+
+// recordAnswer records the time of a response after its first event.
+func (t *tables) recordAnswer(service string, tokens int, took time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.pace(service).RecordAnswer(pace.Answer{Tokens: tokens, Took: took})
+}
+
 // choiceRequest returns the properties of a call that the choice of an endpoint uses.
 func choiceRequest(config *setup.Config, service string, call Call) choice.Request {
 	r := choice.Request{Prompt: call.PromptTokens, Answer: call.AnswerHint}
