relay: a process that knows of no other waits 0.6 s, not 1.5 s

A single daemon that had just started made no read for 1.5 s after its first, so that a replica's leaving was recorded late (TestDrainingReplica failed: 1.5001 s, bound 1.5 s).

--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -50,7 +50,7 @@
 	// ownReadInterval is the pause between the reads of a follower that its hub does not inform.
 	ownReadInterval = time.Second
 	// aloneTime is the age from which a process that knows of no other reads for itself.
-	aloneTime = 1500 * time.Millisecond
+	aloneTime = 600 * time.Millisecond
 	// readRetryDelay follows a failed read of a hub, or of a daemon that has read nothing yet. Others
 	// rely on their hub's next read and retry less often, since failed calls are billed too: with 68
 	// daemons an outage of 6 s cost 2,100 calls.
