lsbench: compare ways to exchange loads between daemons

lsbench exchange runs decide/hubs beside the former way (digests to all hubs, heartbeats to all) and a random fan-out, at 30, 100, 300 and 392 daemons.

--- a/lsbench/main.go
+++ b/lsbench/main.go
@@ -19,6 +19,7 @@
 var commands = []subcommands.Command{
 	&capacityCommand{},
 	&compareCommand{},
+	&exchangeCommand{},
 	&fleetCommand{},
 	&limitsCommand{},
 	&movesCommand{},
