--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -27,6 +27,8 @@
 		// sequence is the number of the last digest. It starts at the time of day, so that an
 		// acknowledgement of an earlier process has no effect.
 		sequence int64
+		// hub and reader are the names that were last logged.
+		hub, reader string
 		// countsAt is when the counts of all usage windows were last sent.
 		countsAt time.Time
 	}
@@ -240,7 +242,9 @@
 	if allCounts {
 		g.countsAt = now
 	}
-	if hub, isHub := d.members.currentHub(now); isHub {
+	hub, isHub := d.members.currentHub(now)
+	g.logRoles(hub.Name, isHub, now)
+	if isHub {
 		d.tables.becomeHub(d.members.all, now)
 		g.sendSums(allCounts, now)
 	} else {
@@ -252,6 +256,26 @@
 	}
 }
 
+// logRoles logs a change of this daemon's hub, and of the reader if this daemon is a hub.
+func (g *gossip) logRoles(hub string, isHub bool, now time.Time) {
+	logger := g.daemon.logger.WithName("gossip")
+	if hub != g.hub {
+		g.hub = hub
+		g.daemon.meters.count("Hub.Changes")
+		logger.Info("Hub changed.", "Hub", hub, "Own", isHub, "Daemons", g.daemon.members.count())
+	}
+	if !isHub {
+		g.reader = ""
+		g.daemon.meters.setGauge("Hub.Followers", 0)
+		return
+	}
+	g.daemon.meters.setGauge("Hub.Followers", int64(len(g.daemon.tables.followers(now))))
+	if reader, _ := g.daemon.members.reader(now); reader.Name != g.reader {
+		g.reader = reader.Name
+		logger.Info("Reader changed.", "Reader", reader.Name)
+	}
+}
+
 // sendDigest sends this daemon's digest to its hub.
 func (g *gossip) sendDigest(hub target, allCounts bool, now time.Time) {
 	m := g.daemon.tables.digest(now, allCounts)
