client: a connection for each call to a plain service

Cause: plain services were called on pooled connections. A second copy of an answer that arrived late was taken for the answer to the next call, also of another account; their answers have no identifier to tell by. Change: a client of its own that opens a connection for each call.

--- a/wire/client/client.go
+++ b/wire/client/client.go
@@ -45,8 +45,12 @@
 	// may have taken effect.
 	ErrDeadline = eris.New("deadline passed while waiting for the answer")
 
-	// sharedClient is the HTTP client with pooled connections for all calls but streams.
-	sharedClient = &fasthttp.Client{
+	// sharedClient is the HTTP client with pooled connections for calls to the platform and engines.
+	sharedClient = newClient()
+)
+
+func newClient() *fasthttp.Client {
+	return &fasthttp.Client{
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                neverRetry,
 		MaxIdleConnDuration:       maxIdleDuration,
@@ -55,7 +59,7 @@
 		NoDefaultUserAgentHeader:  true,
 		Dial:                      dial,
 	}
-)
+}
 
 // Error returns the status and the start of the body.
 func (e *StatusError) Error() string {
--- a/wire/client/plain.go
+++ b/wire/client/plain.go
@@ -9,6 +9,11 @@
 	"github.com/valyala/fasthttp"
 )
 
+// plainClient is the HTTP client for plain services. It opens a connection for each call: answers of
+// plain services have no identifier, so that a second copy of an answer, sent late on a connection that
+// is in use again, would be taken for the answer to the next call.
+var plainClient = newClient()
+
 // CallPlain sends a call to a plain service once and returns the status and body of the answer. The
 // statuses 502, 503 and 504 are returned as a *StatusError, since the call may succeed at another
 // endpoint. After any other error the call may have taken effect.
@@ -24,7 +29,8 @@
 		request.Header.Set(name, value)
 	}
 	request.SetBodyRaw(body)
-	if err := sharedClient.DoDeadline(request, response, deadline); err != nil {
+	request.SetConnectionClose()
+	if err := plainClient.DoDeadline(request, response, deadline); err != nil {
 		if errors.Is(err, fasthttp.ErrTimeout) {
 			return 0, nil, ErrDeadline
 		}
