entry: the serving lease is measured by a clock that counts a suspension

Cause: found by reading. The lease's deadlines were Go times, whose monotonic part stops while an instance is suspended; a daemon that woke up went on serving by a table that had been replaced. Change: Base.LeaseNow, CLOCK_BOOTTIME by default (entryd/clock, which the platform mode uses too), for all times of decide/config; the time to retry stays a time of day.

--- a/decide/config/config.go
+++ b/decide/config/config.go
@@ -81,7 +81,9 @@
 	// Transferred is the table state of a peer, as returned by a GET of its state.
 	Transferred struct {
 		State table.State
-		Now   time.Time
+		// Now is the time of day. LeaseNow is the time by the clock of the lease; zero means Now.
+		Now      time.Time
+		LeaseNow time.Time
 	}
 
 	// State is a daemon's table state with the evidence that it is up to date. It is immutable.
@@ -230,7 +232,11 @@
 // itself excluded: at least one member of that majority has each accepted record.
 func (m Transferred) apply(s *State) {
 	if !s.ready {
-		highest, majority := s.highestPeerOffset(m.Now)
+		at := m.LeaseNow
+		if at.IsZero() {
+			at = m.Now
+		}
+		highest, majority := s.highestPeerOffset(at)
 		if !majority || m.State.Next < highest {
 			return
 		}
--- a/decide/config/permit.go
+++ b/decide/config/permit.go
@@ -22,12 +22,8 @@
 	next int64
 }
 
-const (
-	// permitRetryDelay is the delay after which a caller may retry at a daemon that can't serve.
-	permitRetryDelay = time.Second
-	// unchecked is the offset of a permit that has not been compared with any table.
-	unchecked = -1
-)
+// unchecked is the offset of a permit that has not been compared with any table.
+const unchecked = -1
 
 // NewPermit returns a permit for a call that another daemon has authorized. The table is always
 // compared with it.
@@ -91,6 +87,5 @@
 	if serving {
 		return nil
 	}
-	return codes.Refuse(codes.ConfigUnknown, "daemon %s does not know its table to be current: %s", s.self, reason).
-		WithRetryAt(now.Add(permitRetryDelay))
+	return codes.Refuse(codes.ConfigUnknown, "daemon %s does not know its table to be current: %s", s.self, reason)
 }
--- a/entryd/entry/base.go
+++ b/entryd/entry/base.go
@@ -36,6 +36,7 @@
 
 	"lentilstage.dev/domain/event"
 	"lentilstage.dev/domain/ident"
+	"lentilstage.dev/entryd/clock"
 	"lentilstage.dev/wire/client"
 	"lentilstage.dev/wire/wire"
 )
@@ -49,9 +50,11 @@
 		Events      *event.Buffer
 		Counters    *counters
 
-		// Now is the clock. Random returns numbers in [0, 1).
-		Now    func() time.Time
-		Random func() float64
+		// Now is the clock. LeaseNow is the clock of the serving lease, which goes on while the instance
+		// is suspended. Random returns numbers in [0, 1).
+		Now      func() time.Time
+		LeaseNow func() time.Time
+		Random   func() float64
 
 		// ReadLog, AppendLog and LogInfo call the platform's log.
 		ReadLog   func(deadline time.Time, stream string, from int64, limit int, wait time.Duration) (wire.LogPage, error)
@@ -73,7 +76,7 @@
 
 // WithClock sets the daemon's clock.
 func WithClock(now func() time.Time) Option {
-	return func(b *Base) { b.Now = now }
+	return func(b *Base) { b.Now, b.LeaseNow = now, now }
 }
 
 func newBase(settings Settings, options []Option) *Base {
@@ -88,6 +91,7 @@
 		Events:        event.NewBuffer(settings.Events),
 		Counters:      newCounters(),
 		Now:           time.Now,
+		LeaseNow:      clock.Boot,
 		Random:        rand.Float64,
 		ReadLog:       log.Read,
 		AppendLog:     log.Append,
--- a/entryd/entry/control.go
+++ b/entryd/entry/control.go
@@ -66,7 +66,7 @@
 		logger:  b.Logger.WithName("control"),
 		members: m,
 		peers:   p,
-		state:   config.New(b.Settings.Name, config.DefaultRules, b.Now()),
+		state:   config.New(b.Settings.Name, config.DefaultRules, b.LeaseNow()),
 		changed: make(chan struct{}),
 	}
 }
@@ -99,8 +99,8 @@
 	c.mu.Lock()
 	from := c.state.ReadOffset()
 	c.mu.Unlock()
-	sent := c.base.Now()
-	page, err := c.base.ReadLog(sent.Add(controlPollWait+logTimeout), controlStream, from, controlPageRecords, controlPollWait)
+	sent := c.base.LeaseNow()
+	page, err := c.base.ReadLog(c.base.Now().Add(controlPollWait+logTimeout), controlStream, from, controlPageRecords, controlPollWait)
 	if err != nil {
 		return err
 	}
@@ -148,7 +148,7 @@
 // pollPeers asks peers for their entries while the log cannot be read. The state decides which
 // peers are needed.
 func (c *control) pollPeers() {
-	now := c.base.Now()
+	now := c.base.LeaseNow()
 	c.mu.Lock()
 	names := c.state.PeersToQuery(now)
 	c.mu.Unlock()
@@ -159,9 +159,9 @@
 			continue
 		}
 		calls.Go(func() {
-			sent := c.base.Now()
+			sent := c.base.LeaseNow()
 			var reply wire.DigestReply
-			if c.peers.call(sent.Add(controlCallTimeout), address, "Entry", wire.Empty{}, &reply) == nil {
+			if c.peers.call(c.base.Now().Add(controlCallTimeout), address, "Entry", wire.Empty{}, &reply) == nil {
 				c.applyPeerEntry(reply, sent)
 			}
 		})
@@ -169,7 +169,7 @@
 	calls.Wait()
 }
 
-// applyPeerEntry applies a peer's reply to a call that was sent at the given time.
+// applyPeerEntry applies a peer's reply to a call that was sent at the given time of the lease's clock.
 func (c *control) applyPeerEntry(reply wire.DigestReply, sent time.Time) {
 	c.update(config.PeerReport{Entry: reply.Entry, Sent: sent, Time: reply.Time})
 }
@@ -177,7 +177,7 @@
 // fetchState copies the table state from a peer if this daemon cannot get it from the log.
 func (c *control) fetchState() {
 	c.mu.Lock()
-	name, needed := c.state.FetchPeer(c.base.Now())
+	name, needed := c.state.FetchPeer(c.base.LeaseNow())
 	c.mu.Unlock()
 	address, ok := c.members.peerAddress(name)
 	if !needed || !ok {
@@ -188,7 +188,7 @@
 		c.logger.V(1).Info("Table state could not be fetched.", "daemon", name, "error", err.Error())
 		return
 	}
-	c.update(config.Transferred{State: fold, Now: c.base.Now()})
+	c.update(config.Transferred{State: fold, Now: c.base.Now(), LeaseNow: c.base.LeaseNow()})
 	c.base.emit(event.Event{Kind: "FoldFetched", Endpoint: name, Numbers: []event.Number{{Name: "Next", Value: float64(fold.Next)}}})
 }
 
@@ -242,7 +242,7 @@
 // Serving reports whether new requests may be served with the current table state, and the reason
 // if not.
 func (c *control) Serving() (bool, string) {
-	now := c.base.Now()
+	now := c.base.LeaseNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.state.Serving(now)
@@ -250,35 +250,37 @@
 
 // authenticate returns a permit for the account of a key, or a refusal.
 func (c *control) authenticate(keyHash string) (config.Permit, *codes.Refusal) {
-	now := c.base.Now()
+	now := c.base.LeaseNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.Authenticate(now, keyHash)
+	permit, refusal := c.state.Authenticate(now, keyHash)
+	return permit, c.withRetry(refusal)
 }
 
 // authorize returns the permit for a route of a kind and the route, or a refusal. The key, the route
 // and the serving lease are checked against one state of the table.
 func (c *control) authorize(permit config.Permit, route string, kind table.Kind) (config.Permit, table.Route, *codes.Refusal) {
-	now := c.base.Now()
+	now := c.base.LeaseNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.Authorize(now, permit, route, kind)
+	permit, row, refusal := c.state.Authorize(now, permit, route, kind)
+	return permit, row, c.withRetry(refusal)
 }
 
 // checkPermit returns a refusal if this daemon may not act on a permit now, or nil.
 func (c *control) checkPermit(permit config.Permit) *codes.Refusal {
-	now := c.base.Now()
+	now := c.base.LeaseNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.CheckPermit(now, permit)
+	return c.withRetry(c.state.CheckPermit(now, permit))
 }
 
 // permittedState returns the table state by which this daemon may act on a permit now, or a refusal.
 func (c *control) permittedState(permit config.Permit) (table.State, *codes.Refusal) {
-	now := c.base.Now()
+	now := c.base.LeaseNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.TableState(), c.state.CheckPermit(now, permit)
+	return c.state.TableState(), c.withRetry(c.state.CheckPermit(now, permit))
 }
 
 // checkKey returns a refusal if a permit's key no longer belongs to its account, or nil.
@@ -290,10 +292,19 @@
 
 // checkServing returns a refusal if this daemon may not serve with its table, or nil.
 func (c *control) checkServing() *codes.Refusal {
-	now := c.base.Now()
+	now := c.base.LeaseNow()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.CheckServing(now)
+	return c.withRetry(c.state.CheckServing(now))
+}
+
+// withRetry adds the time after which the caller may retry to a refusal of a daemon that can't serve now.
+// The lease's clock tells no time of day.
+func (c *control) withRetry(refusal *codes.Refusal) *codes.Refusal {
+	if refusal == nil || refusal.Code != codes.ConfigUnknown {
+		return refusal
+	}
+	return refusal.WithRetryAt(c.base.Now().Add(retryDelay))
 }
 
 // reportServing logs and emits an event when the daemon starts or stops serving.
@@ -323,7 +334,8 @@
 	return c.state.Next()
 }
 
-// TailDeadline returns the time until which the last read of the stream's tail counts as current.
+// TailDeadline returns the time until which the last read of the stream's tail counts as current, by the
+// clock of the lease.
 func (c *control) TailDeadline() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entryd/entry/members.go
+++ b/entryd/entry/members.go
@@ -26,7 +26,7 @@
 		describe   func() wire.DigestEntry
 		onUpdate   func(digestUpdate)
 		onOwnEntry func(wire.DigestEntry)
-		// onReply passes on a peer's reply with the time at which the call was sent.
+		// onReply passes on a peer's reply with the time of the lease's clock at which the call was sent.
 		onReply func(reply wire.DigestReply, sent time.Time)
 
 		mu        sync.Mutex
@@ -166,13 +166,13 @@
 	entry := m.describe()
 	last, _ := m.snapshot().Entry(m.base.Settings.Name)
 	entry.Process, entry.Incarnation, entry.Sequence = m.base.Settings.Name, string(m.base.Incarnation), last.Sequence
-	return wire.DigestReply{Entry: entry, Time: m.base.Now()}
+	return wire.DigestReply{Entry: entry, Time: m.base.LeaseNow()}
 }
 
 // send sends a digest to one daemon and applies the reply.
 func (m *members) send(to member.Target, digest wire.Digest) {
 	var reply wire.DigestReply
-	sent := m.base.Now()
+	sent := m.base.LeaseNow()
 	err := m.peers.call(m.base.Now().Add(digestTimeout), to.PeerAddress, "Digest", digest, &reply)
 	if err != nil {
 		m.update(member.CallFailed{Process: to.Process, Now: m.base.Now()})
--- a/entryd/relay/clock.go
+++ b/entryd/relay/clock.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
+	bootclock "lentilstage.dev/entryd/clock"
 )
 
 type (
@@ -38,23 +38,13 @@
 )
 
 func newClock() clock {
-	boot := bootTime()
+	boot := bootclock.Boot()
 	return clock{
-		now: time.Now, boot: bootTime,
+		now: time.Now, boot: bootclock.Boot,
 		wallClock: &wallEstimate{wall: time.Now().Round(0), boot: boot, peers: map[string]time.Duration{}},
 	}
 }
 
-// bootTime returns the time since the instance's boot, as a time since 1970.
-func bootTime() time.Time {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		// The clock exists on every kernel that Go supports.
-		panic(err)
-	}
-	return time.Unix(t.Unix())
-}
-
 // localTime returns the estimate of this instance alone.
 func (t *wallEstimate) localTime(boot time.Time) time.Time { return t.wall.Add(boot.Sub(t.boot)) }
 
