relay: a daemon relies on another's read only if it has the records of that read

The daemon that took its place heard from the reader that the log was read just now and relied on it, though the change had gone to the hub before; only the comparison of the endpoints found it a second later. Change: a read counts for a stream only from a message whose endpoints (or operators' offset) match the daemon's own. Result: TestNewHubReadsMissedChanges failed before.

--- a/entryd/relay/follower_test.go
+++ b/entryd/relay/follower_test.go
@@ -61,6 +61,29 @@
 	}
 }
 
+// TestNewHubReadsMissedChanges guards against a daemon that takes over as a hub, hears from the reader that
+// the log was read just now, and relies on that although the reader sent the last change to the hub before:
+// requests would go to a replica that has left until the difference is found.
+func TestNewHubReadsMissedChanges(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newTestDaemon(t, &now)
+	d.addEndpoint("e1", 5)
+	sum := message{
+		Daemon: "entry-1", Incarnation: "1", DataCentre: "b", Speed: 2, TimeMS: now.UnixMilli(), Sum: true,
+		Totals: &totals{Daemons: 1, EndpointsNext: 9},
+	}
+	d.gossip.handle(sum, 0, "127.0.0.1:9")
+	d.gossip.handle(sum, 0, "127.0.0.1:9")
+	if d.informed(Endpoints, now) {
+		t.Error("the daemon relies on a read whose records it lacks")
+	}
+	sum.Totals.Roster = d.tables.rosterHash(now)
+	d.gossip.handle(sum, 0, "127.0.0.1:9")
+	if !d.informed(Endpoints, now) {
+		t.Error("the daemon does not rely on a read whose records it has")
+	}
+}
+
 // TestSnapshotEndCoversGoneEndpoints guards against a snapshot whose End follows its own newest
 // endpoint record: the receiver would keep an endpoint that is gone if its record is newer.
 func TestSnapshotEndCoversGoneEndpoints(t *testing.T) {
--- a/entryd/relay/freshness.go
+++ b/entryd/relay/freshness.go
@@ -17,6 +17,9 @@
 	ownReadAt    map[Stream]time.Time
 	hubReadAt    map[Stream]time.Time
 	readerReadAt map[Stream]time.Time
+	// matchedAt is the time of the last read that was made for this daemon and whose records it has: a
+	// new hub lacks the changes that were sent to the one before.
+	matchedAt map[Stream]time.Time
 	// ownOffset is the offset after the records that this daemon has, hubOffset the one after the
 	// hub's endpoint records.
 	ownOffset map[Stream]int64
@@ -61,7 +64,7 @@
 )
 
 func newFreshness(rosterHash func(time.Time) uint64) *freshness {
-	return &freshness{ownReadAt: map[Stream]time.Time{}, hubReadAt: map[Stream]time.Time{}, readerReadAt: map[Stream]time.Time{}, ownOffset: map[Stream]int64{}, rosterHash: rosterHash}
+	return &freshness{ownReadAt: map[Stream]time.Time{}, hubReadAt: map[Stream]time.Time{}, readerReadAt: map[Stream]time.Time{}, matchedAt: map[Stream]time.Time{}, ownOffset: map[Stream]int64{}, rosterHash: rosterHash}
 }
 
 // recordOwnRead records a read by this daemon up to the stream's end.
@@ -95,12 +98,14 @@
 	readAt[Endpoints] = latest(readAt[Endpoints], endpointsReadAt)
 	if t.OperatorsNext <= f.ownOffset[Operators] {
 		f.behindSince = time.Time{}
+		f.matchedAt[Operators] = latest(f.matchedAt[Operators], ago(t.OperatorsAgeMS, now))
 	} else if f.behindSince.IsZero() {
 		f.behindSince = now
 	}
 	if t.Roster == hash {
 		f.divergedSince = time.Time{}
 		f.hubOffset = t.EndpointsNext
+		f.matchedAt[Endpoints] = latest(f.matchedAt[Endpoints], endpointsReadAt)
 	} else if f.divergedSince.IsZero() {
 		f.divergedSince = now
 	}
@@ -150,6 +155,18 @@
 func (f *freshness) hubFresh(stream Stream, isHub bool, interval time.Duration, now time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	return now.Sub(f.readsFor(isHub)[stream]) < maxAgeOf(stream, isHub, interval)
+}
+
+// informed reports the same of the last such read whose records this daemon has.
+func (f *freshness) informed(stream Stream, isHub bool, interval time.Duration, now time.Time) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return now.Sub(f.matchedAt[stream]) < maxAgeOf(stream, isHub, interval)
+}
+
+// maxAgeOf returns the age of a read up to which a daemon does not read the stream itself.
+func maxAgeOf(stream Stream, isHub bool, interval time.Duration) time.Duration {
 	limit := maxOperatorsAge
 	if stream == Endpoints {
 		limit = maxEndpointsAge
@@ -158,7 +175,7 @@
 	if isHub {
 		limit -= hubReadLead
 	}
-	return now.Sub(f.readsFor(isHub)[stream]) < limit
+	return limit
 }
 
 // nextOffset returns the offset after the stream's records that this daemon knows, at least minimum.
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -201,11 +201,11 @@
 // makes none that could end it, and must then also drop the endpoints that the hub finds gone.
 func (g *gossip) applyHubReads(hub string, now time.Time) {
 	d := g.daemon
-	if d.informed(Endpoints, now) && d.tables.unreachable() {
+	if d.hubFresh(Endpoints, now) && d.tables.unreachable() {
 		d.setEndpointsReachable(true)
 		d.logger.WithName("store").Info("Reachable through a hub.", "Stream", Endpoints, "Hub", hub)
 	}
-	if d.informed(Operators, now) {
+	if d.hubFresh(Operators, now) {
 		d.operatorsUnreachable.Store(false)
 	}
 }
--- a/entryd/relay/members.go
+++ b/entryd/relay/members.go
@@ -234,6 +234,7 @@
 		}
 	}
 	d.listMembers(listed)
+	d.membersRead.Store(true)
 	return nil
 }
 
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -65,6 +65,8 @@
 		draining atomic.Bool
 		// closing is set in the last phase of draining, in which every request is refused.
 		closing atomic.Bool
+		// membersRead is set once the daemons' records were read.
+		membersRead atomic.Bool
 		// operatorsUnreachable is set while the operators' stream can't be read.
 		operatorsUnreachable atomic.Bool
 		// openRequests is the number of requests being served.
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -49,7 +49,7 @@
 	idleInterval = 100 * time.Millisecond
 	// ownReadInterval is the pause between the reads of a follower that its hub does not inform.
 	ownReadInterval = time.Second
-	// aloneTime is the age from which a process that knows of no other reads for itself.
+	// aloneTime is the age from which a process that can't read who the others are reads for itself.
 	aloneTime = 600 * time.Millisecond
 	// readRetryDelay follows a failed read of a hub, or of a daemon that has read nothing yet. Others
 	// rely on their hub's next read and retry less often, since failed calls are billed too: with 68
@@ -122,8 +122,9 @@
 	case !s.synced:
 		return true
 	case isHub && d.members.isReader(now):
-		// While all daemons start, each is the first that it knows of.
-		return d.members.count() > 1 || d.age(now) > aloneTime
+		// While all daemons start, each is the first that it knows of until it has read who the others
+		// are.
+		return d.membersRead.Load() || d.age(now) > aloneTime
 	case isHub:
 		return !d.informed(s.stream, now)
 	}
@@ -131,8 +132,14 @@
 	return !d.informed(s.stream, now) && now.Sub(ownReadAt) > ownReadInterval
 }
 
-// informed reports whether the reads of the daemon that informs this one are recent enough to rely on.
+// informed reports whether this daemon has the records of a recent read that another one made for it.
 func (d *Daemon) informed(stream Stream, now time.Time) bool {
+	_, isHub := d.members.currentHub(now)
+	return d.freshness.informed(stream, isHub, d.members.interval(), now)
+}
+
+// hubFresh reports whether another daemon has recently read the stream for this one.
+func (d *Daemon) hubFresh(stream Stream, now time.Time) bool {
 	_, isHub := d.members.currentHub(now)
 	return d.freshness.hubFresh(stream, isHub, d.members.interval(), now)
 }
