--- a/entryd/relay/digest.go
+++ b/entryd/relay/digest.go
@@ -414,9 +414,7 @@
 	for service, work := range t.peerWork {
 		m.Work[service] += int64(work)
 	}
-	if allCounts {
-		m.Counts = newestWindows(t.usage.OwnGroups(), true)
-	}
+	m.Counts = newestWindows(t.usage.OwnGroups(), allCounts)
 	t.sumCursor = m.limitLoads(t.sumCursor)
 	return m
 }
