--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -325,7 +325,7 @@
 // sendChanges sends changes of endpoints to this daemon's followers. The reader sends them to the
 // other hubs too.
 func (g *gossip) sendChanges(changes []roster.Change) {
-	targets := g.audience()
+	targets := g.recipients()
 	for part := range slices.Chunk(changes, maxChangesPerMessage) {
 		g.sendTo(targets, func() message { return g.daemon.tables.changesMessage(part) })
 	}
@@ -341,7 +341,7 @@
 	if size == 0 || size > maxForwardedBytes {
 		return
 	}
-	g.sendTo(g.audience(), func() message { return message{Operators: records, OperatorsFrom: from, OperatorsNext: next} })
+	g.sendTo(g.recipients(), func() message { return message{Operators: records, OperatorsFrom: from, OperatorsNext: next} })
 }
 
 // followers returns the daemons that follow this one.
@@ -353,9 +353,9 @@
 	return targets
 }
 
-// audience returns the daemons that this one informs of what it reads: its followers, and if it is the
+// recipients returns the daemons that this one informs of what it reads: its followers, and if it is the
 // reader, the other hubs.
-func (g *gossip) audience() []target {
+func (g *gossip) recipients() []target {
 	targets := g.followers()
 	now := g.daemon.clock.now()
 	if _, isHub := g.daemon.members.currentHub(now); isHub && g.daemon.members.isReader(now) {
