--- a/decide/hubs/hubs.go
+++ b/decide/hubs/hubs.go
@@ -10,7 +10,7 @@
 // from one or two random daemons a second. Liveness travels as referrals instead: each message names
 // the hub of its sender, and a hub's messages name the hubs and the next candidates as well. A referral
 // holds the time at which its subject was last heard, so that referrals of a dead daemon expire. A
-// daemon that does not hear from its hub distrusts referrals to it until it hears from it directly.
+// daemon that receives nothing from its hub ignores referrals to it until it receives a message of it.
 //
 // One of the hubs, the reader, reads the log for all of them.
 //
