--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"lentilstage.dev/decide/choice"
@@ -29,10 +28,8 @@
 		endpointConn *endpointConn
 		// reused reports whether the connection has carried other requests.
 		reused bool
-		// stallTimer fails over to another endpoint if this one sends nothing for too long; nil if no
-		// other attempt may follow. stalled is set once it has done so.
-		stallTimer *time.Timer
-		stalled    atomic.Bool
+		// silence fails over to another endpoint if another attempt may follow.
+		silence silence
 		// began reports whether the endpoint has begun its response: a stream with its first event, another
 		// response with its head.
 		began bool
@@ -100,8 +97,7 @@
 	a.sentAt = x.daemon.clock.now()
 	_ = c.SetDeadline(x.deadline)
 	if x.mayRepeat() && sends+1 < x.route.MaxAttempts {
-		a.stallTimer = time.AfterFunc(a.stallTimeout(), func() { a.failOver(sends + 1) })
-		defer a.stallTimer.Stop()
+		a.silence.start(x.daemon.clock.now, a.stallTimeout(), func() bool { return a.failOver(sends + 1) })
 	}
 	x.log("Sent.", "Endpoint", endpoint.ID, "DataCentre", endpoint.DataCentre, "Predicted", int(picked.Wait),
 		"Load", picked.Candidate.Load.Requests, "Cost", int(x.cost), "Uncached", picked.Uncached,
@@ -109,7 +105,8 @@
 	// Closes the connection as soon as the caller leaves, which cancels the work at the endpoint.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	result, keep, header := a.run()
-	if stop() && keep {
+	failedOver := a.silence.end()
+	if stop() && keep && !failedOver {
 		x.daemon.pool.put(c, header)
 	} else {
 		_ = c.Close()
@@ -127,14 +124,17 @@
 	return time.Duration(busyFraction * float64(target))
 }
 
-// failOver ends an attempt that has stalled, if the retry budget grants another one. Otherwise the
-// attempt goes on.
-func (a *attempt) failOver(sends int) {
-	if a.ctx.Err() != nil || !a.x.requestRetry(stalled, sends) {
-		return
+// failOver ends an attempt that has stalled, if the retry budget grants another one, and reports whether it
+// did. Otherwise the attempt goes on. There is no backoff after the stall timeout.
+func (a *attempt) failOver(sends int) bool {
+	if a.ctx.Err() != nil {
+		return false
+	}
+	if _, granted := a.x.grantRetry(stalled, sends); !granted {
+		return false
 	}
-	a.stalled.Store(true)
 	_ = a.endpointConn.Close()
+	return true
 }
 
 func (a *attempt) dialFailed(err error) outcome {
@@ -321,7 +321,7 @@
 
 // classifyError returns the outcome for an error on the connection.
 func (a *attempt) classifyError(err error) outcome {
-	if a.stalled.Load() {
+	if a.silence.hasFailedOver() {
 		return stalled
 	}
 	a.x.log("Connection failed.", "Endpoint", a.endpoint.ID, "Error", err.Error())
@@ -352,11 +352,11 @@
 	return delivered, nil
 }
 
-// forwardLarge forwards a response while it is being read. head holds the part that was read already.
+// forwardLarge forwards a response while it is being read. head holds the part that was read already. No
+// other attempt may follow once it has started.
 func (a *attempt) forwardLarge(head *bufferedResponse, rest io.Reader) (outcome, error) {
-	if a.stallTimer != nil {
-		// No other attempt may follow a response that has started.
-		a.stallTimer.Stop()
+	if a.silence.end() {
+		return stalled, errConnUnusable
 	}
 	copyHeader(a.x.writer.Header(), head.header)
 	a.x.writer.WriteHeader(head.status)
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -182,17 +182,26 @@
 // mayRepeat reports whether the request may be sent again although it may have run.
 func (x *exchange) mayRepeat() bool { return x.route.Repeatable() }
 
-// requestRetry requests another attempt from the retry budget and waits for its backoff. It may be
-// called while the response is being read, so it reads no field that changes then.
+// requestRetry requests another attempt from the retry budget and waits for its backoff.
 func (x *exchange) requestRetry(result outcome, sends int) bool {
+	at, granted := x.grantRetry(result, sends)
+	if granted {
+		sleep(x.request.Context(), at.Sub(x.daemon.clock.now()))
+	}
+	return granted
+}
+
+// grantRetry requests another attempt from the retry budget and returns the end of its backoff. It may be
+// called while the response is being read, so it reads no field that changes then.
+func (x *exchange) grantRetry(result outcome, sends int) (time.Time, bool) {
 	d := x.daemon
 	now := d.clock.now()
 	if d.tables.quarantined(x.suspect, now) {
-		return false
+		return time.Time{}, false
 	}
 	if v, rejected := x.partRejected(); rejected {
 		x.log("Not retried.", append([]any{"After", result, "Sends", sends, "Reason", "PartQuarantined"}, x.partFields(v.Part)...)...)
-		return false
+		return time.Time{}, false
 	}
 	command := d.budget.requestRetry(retry.Attempt{
 		Request: x.call.ID, Account: x.service, Number: sends, Repeatable: x.mayRepeat(),
@@ -201,12 +210,11 @@
 	switch c := command.(type) {
 	case retry.Retry:
 		x.log("Retrying.", "After", result, "Sends", sends)
-		sleep(x.request.Context(), c.At.Sub(now))
-		return true
+		return c.At, true
 	case retry.GiveUp:
 		x.log("Not retried.", "After", result, "Sends", sends, "Reason", c.Reason)
 	}
-	return false
+	return time.Time{}, false
 }
 
 // fail ends a request without a complete response.
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -103,8 +103,8 @@
 				return callerGone, err
 			}
 		}
-		if a.stallTimer != nil && content && !a.stalled.Load() {
-			a.stallTimer.Reset(max(minEventGap, gapFactor*x.route.GapTarget))
+		if content {
+			a.silence.extend(x.daemon.clock.now().Add(max(minEventGap, gapFactor*x.route.GapTarget)))
 		}
 	}
 }
