--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -19,17 +19,16 @@
 type (
 	// attempt is one send of a request to an endpoint.
 	attempt struct {
-		x            *exchange
-		ctx          context.Context
-		endpoint     setup.Endpoint
-		picked       choice.Picked
-		placed       *placement
+		x   *exchange
+		ctx context.Context
+		selection
 		sentAt       time.Time
 		endpointConn *endpointConn
 		// reused reports whether the connection has carried other requests.
 		reused bool
-		// silence fails over to another endpoint if another attempt may follow.
+		// silence fails over to another endpoint, next, if another attempt may follow.
 		silence silence
+		next    selection
 		// began reports whether the endpoint has begun its response: a stream with its first event, another
 		// response with its head.
 		began bool
@@ -83,8 +82,9 @@
 
 // attempt sends the request to the endpoint and forwards the response. sends is the number of earlier
 // sends of the request.
-func (x *exchange) attempt(ctx context.Context, endpoint setup.Endpoint, picked choice.Picked, placed *placement, sends int) outcome {
-	a := &attempt{x: x, ctx: ctx, endpoint: endpoint, picked: picked, placed: placed}
+func (x *exchange) attempt(ctx context.Context, selected selection, sends int) outcome {
+	endpoint, picked := selected.endpoint, selected.picked
+	a := &attempt{x: x, ctx: ctx, selection: selected}
 	maxIdleTime := defaultIdleTime
 	if !x.mayRepeat() {
 		maxIdleTime = maxIdleUnrepeatable
@@ -97,7 +97,10 @@
 	a.sentAt = x.daemon.clock.now()
 	_ = c.SetDeadline(x.deadline)
 	if x.mayRepeat() && sends+1 < x.route.MaxAttempts {
-		a.silence.start(x.daemon.clock.now, a.stallTimeout(), func() bool { return a.failOver(sends + 1) })
+		started := x.responseStarted
+		a.silence.start(x.daemon.clock.now, a.stallTimeout(), func(extended bool) bool {
+			return a.failOver(sends+1, started || extended)
+		})
 	}
 	x.log("Sent.", "Endpoint", endpoint.ID, "DataCentre", endpoint.DataCentre, "Predicted", int(picked.Wait),
 		"Load", picked.Candidate.Load.Requests, "Cost", int(x.cost), "Uncached", picked.Uncached,
@@ -106,6 +109,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	result, keep, header := a.run()
 	failedOver := a.silence.end()
+	if failedOver {
+		x.reserved, x.silent = &a.next, endpoint.ID
+	}
 	if stop() && keep && !failedOver {
 		x.daemon.pool.put(c, header)
 	} else {
@@ -124,15 +130,29 @@
 	return time.Duration(busyFraction * float64(target))
 }
 
-// failOver ends an attempt that has stalled, if the retry budget grants another one, and reports whether it
-// did. Otherwise the attempt goes on. There is no backoff after the stall timeout.
-func (a *attempt) failOver(sends int) bool {
+// failOver ends an attempt that has stalled and reports whether it did: only if another endpoint can take the
+// request and the retry budget grants another attempt. Otherwise the attempt goes on, since the endpoint may
+// be sound and only silent. There is no backoff after the stall timeout.
+func (a *attempt) failOver(sends int, responseStarted bool) bool {
+	x := a.x
 	if a.ctx.Err() != nil {
 		return false
 	}
-	if _, granted := a.x.grantRetry(stalled, sends); !granted {
+	next, ok := x.selectEndpoint(responseStarted)
+	if !ok {
+		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", "NoEndpoint")
+		return false
+	}
+	if verdict := x.checkAdmission(next.picked, responseStarted); !verdict.Admitted {
+		x.daemon.tables.release(next.placed)
+		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", "Overload", "Predicted", int(next.picked.Wait))
+		return false
+	}
+	if _, granted := x.grantRetry(stalled, sends); !granted {
+		x.daemon.tables.release(next.placed)
 		return false
 	}
+	a.next = next
 	_ = a.endpointConn.Close()
 	return true
 }
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -33,6 +33,10 @@
 		deadline time.Time
 		// tried holds the endpoints to which the request was sent.
 		tried map[string]bool
+		// reserved is the endpoint of the next attempt, if one was selected already.
+		reserved *selection
+		// silent is the endpoint that the last fail-over has left, until the request returns to it.
+		silent string
 		// mayHaveRun reports whether an endpoint may have run the request.
 		mayHaveRun bool
 		// responseStarted reports whether a part of the response was sent to the caller.
@@ -49,6 +53,13 @@
 		failedResponse *bufferedResponse
 	}
 
+	// selection is an endpoint at which the request is counted.
+	selection struct {
+		endpoint setup.Endpoint
+		picked   choice.Picked
+		placed   *placement
+	}
+
 	// outcome is how an attempt ended.
 	outcome string
 )
@@ -86,16 +97,17 @@
 	d.budget.arrived(x.service, x.arrived)
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
+	defer x.releaseReserved()
 	sends, dials := 0, 0
 	for {
-		endpoint, picked, placed, ok := x.place()
+		next, ok := x.place()
 		if !ok {
 			return
 		}
-		result := x.attempt(ctx, endpoint, picked, placed, sends)
-		d.tables.release(placed)
+		x.tried[next.endpoint.ID] = true
+		result := x.attempt(ctx, next, sends)
+		d.tables.release(next.placed)
 		d.meters.count("Attempts." + string(result))
-		x.tried[endpoint.ID] = true
 		if x.responseStarted && x.route.Kind != setup.Stream && result != delivered && result != callerGone {
 			// Only a stream can go on at another endpoint.
 			x.fail(result, string(result))
@@ -106,56 +118,123 @@
 			d.meters.observe("Answer.Milliseconds", d.clock.now().Sub(x.arrived))
 			return
 		case callerGone:
-			x.log("Caller left.", "Endpoint", endpoint.ID, "Sends", sends+1)
+			x.log("Caller left.", "Endpoint", next.endpoint.ID, "Sends", sends+1)
 			d.meters.count("Callers.Left")
 			panic(http.ErrAbortHandler)
 		case deadlinePassed:
 			x.fail(deadlinePassed, "Deadline")
 			return
 		case notSent:
-			if dials++; dials >= maxDials {
+			if dials++; dials >= maxDials && !x.reserveSilent(notSent) {
 				x.fail(notSent, "Unreachable")
 				return
 			}
 			continue
-		case stalled:
-			// failOver requested the next attempt before it ended this one.
-			sends++
-			continue
 		default:
 			sends++
 		}
-		if sends >= x.route.MaxAttempts || !x.requestRetry(result, sends) {
+		if !x.mayContinue(result, sends) {
 			x.fail(result, string(result))
 			return
 		}
 	}
 }
 
+// mayContinue reports whether another attempt may follow one that has failed. After the last permitted send,
+// the request may still return to an endpoint that a fail-over has left, since that is no further endpoint.
+func (x *exchange) mayContinue(result outcome, sends int) bool {
+	if x.reserved != nil {
+		return true
+	}
+	if sends < x.route.MaxAttempts {
+		return x.requestRetry(result, sends)
+	}
+	if !x.reserveSilent(result) {
+		return false
+	}
+	_, granted := x.grantRetry(result, sends)
+	return granted
+}
+
 // place selects an endpoint that can serve the request in time and counts the request there. If there
 // is none, it ends the request and returns false.
-func (x *exchange) place() (setup.Endpoint, choice.Picked, *placement, bool) {
-	d := x.daemon
-	endpoint, picked, placed, ok := d.tables.place(placeRequest{
-		service: x.service, call: x.call, target: x.route.LatencyTarget, tried: x.tried,
-		fits: func(p choice.Picked) bool { return x.checkAdmission(p).Admitted },
-	}, d.clock.now(), d.random)
+func (x *exchange) place() (selection, bool) {
+	if next, ok := x.takeReserved(); ok {
+		return next, true
+	}
+	next, ok := x.selectEndpoint(x.responseStarted)
 	if !ok {
+		if x.reserveSilent(notSent) {
+			return x.takeReserved()
+		}
 		x.fail(notSent, "NoEndpoint")
-		return endpoint, picked, nil, false
+		return next, false
+	}
+	if verdict := x.checkAdmission(next.picked, x.responseStarted); !verdict.Admitted {
+		x.daemon.tables.release(next.placed)
+		if x.reserveSilent(notSent) {
+			return x.takeReserved()
+		}
+		x.refuseOverload(verdict, next.picked)
+		return next, false
 	}
-	if verdict := x.checkAdmission(picked); !verdict.Admitted {
-		d.tables.release(placed)
-		x.refuseOverload(verdict, picked)
-		return endpoint, picked, nil, false
+	return next, true
+}
+
+// selectEndpoint selects an endpoint that was not tried and counts the request there. It may be called while
+// the response is being read.
+func (x *exchange) selectEndpoint(responseStarted bool) (selection, bool) {
+	return x.selectFrom(placeRequest{
+		tried: x.tried, fits: func(p choice.Picked) bool { return x.checkAdmission(p, responseStarted).Admitted },
+	})
+}
+
+func (x *exchange) selectFrom(r placeRequest) (next selection, ok bool) {
+	d := x.daemon
+	r.service, r.call, r.target = x.service, x.call, x.route.LatencyTarget
+	next.endpoint, next.picked, next.placed, ok = d.tables.place(r, d.clock.now(), d.random)
+	return next, ok
+}
+
+// reserveSilent reserves the endpoint that the last fail-over has left if the request would otherwise fail
+// with the outcome: the endpoint may have been sound and only silent.
+func (x *exchange) reserveSilent(result outcome) bool {
+	if x.silent == "" {
+		return false
+	}
+	// Without a started response, the caller gets a failed endpoint's own response, and may itself retry one
+	// that broke.
+	if !x.responseStarted && (x.failedResponse != nil || result != notSent && result != notRun) {
+		return false
+	}
+	next, ok := x.selectFrom(placeRequest{only: x.silent})
+	if !ok {
+		return false
+	}
+	x.log("Returning to a silent endpoint.", "Endpoint", x.silent, "After", result, "LastEvent", x.lastEvent)
+	x.reserved, x.silent = &next, ""
+	return true
+}
+
+func (x *exchange) takeReserved() (selection, bool) {
+	if x.reserved == nil {
+		return selection{}, false
+	}
+	next := *x.reserved
+	x.reserved = nil
+	return next, true
+}
+
+func (x *exchange) releaseReserved() {
+	if next, ok := x.takeReserved(); ok {
+		x.daemon.tables.release(next.placed)
 	}
-	return endpoint, picked, placed, true
 }
 
 // checkAdmission decides whether the request may go to the selected endpoint, by its predicted wait.
-func (x *exchange) checkAdmission(picked choice.Picked) admit.Decision {
+func (x *exchange) checkAdmission(picked choice.Picked, responseStarted bool) admit.Decision {
 	now := x.daemon.clock.now()
-	if x.responseStarted {
+	if responseStarted {
 		// A response that has started is always completed.
 		return admit.Decision{Admitted: true}
 	}
--- a/entryd/relay/silence.go
+++ b/entryd/relay/silence.go
@@ -12,13 +12,17 @@
 	timer *time.Timer
 	// until is when the attempt ends unless the endpoint sends something before.
 	until time.Time
-	// failedOver is set once another attempt was granted, ended once the attempt is over.
-	failedOver, ended bool
+	// extended is set once the endpoint has sent something, failedOver once another attempt follows, ended
+	// once the attempt is over.
+	extended, failedOver, ended bool
 }
 
-// start ends the attempt after a time of silence if failOver, which is called with the mutex locked, permits
-// another one.
-func (s *silence) start(now func() time.Time, limit time.Duration, failOver func() bool) {
+// failOverInterval is the pause between two tries to fail over: another endpoint may get room.
+const failOverInterval = 500 * time.Millisecond
+
+// start calls failOver, with the mutex locked, after a time of silence. If that reports false, the attempt goes
+// on, and failOver is called again later.
+func (s *silence) start(now func() time.Time, limit time.Duration, failOver func(extended bool) bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.until = now().Add(limit)
@@ -32,8 +36,12 @@
 			s.timer.Reset(left)
 			return
 		}
-		s.failedOver = failOver()
+		s.failedOver = failOver(s.extended)
 		s.ended = s.failedOver
+		if !s.ended {
+			s.until = now().Add(failOverInterval)
+			s.timer.Reset(failOverInterval)
+		}
 	})
 }
 
@@ -44,7 +52,7 @@
 	if s.timer == nil || s.ended {
 		return
 	}
-	s.until = until
+	s.until, s.extended = until, true
 	s.timer.Reset(time.Until(until))
 }
 
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -16,9 +16,9 @@
 const (
 	// gapFactor times the route's target for the gap between events is the wait for the next event
 	// before the stream is resumed at another endpoint. minEventGap applies to routes with a short
-	// target.
+	// target: sound endpoints may be silent for a second, and callers leave after two or more.
 	gapFactor   = 2
-	minEventGap = time.Second
+	minEventGap = 1500 * time.Millisecond
 	// maxLeadingComments limits the comments before the first event of a stream. An endpoint in trouble may
 	// send them without end.
 	maxLeadingComments = 64 << 10
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -358,16 +358,16 @@
 // candidates returns the endpoints of the service that may serve the call, and the leaving ones,
 // which may still have cached a part of its prompt. Endpoints that were tried are excluded, and
 // unhealthy ones unless no other is left.
-func (t *tables) candidates(service string, call Call, tried map[string]bool, now time.Time) (serving, leaving []choice.Candidate) {
+func (t *tables) candidates(r placeRequest, now time.Time) (serving, leaving []choice.Candidate) {
 	memory := 0
-	if s, ok := t.config.Services[service]; ok && s.Engine != nil {
+	if s, ok := t.config.Services[r.service]; ok && s.Engine != nil {
 		memory = s.Engine.KVCacheTokens
 	}
-	loads, parts := t.peerLoads(now), shortParts(call.Parts)
+	loads, parts := t.peerLoads(now), shortParts(r.call.Parts)
 	var unhealthy []choice.Candidate
 	serving = make([]choice.Candidate, 0, len(t.endpoints))
 	for _, e := range t.endpoints {
-		if e.Service != service || tried[e.ID] {
+		if e.Service != r.service || r.excludes(e.ID) {
 			continue
 		}
 		if born, wrong := t.misdirected[e.ID]; wrong && born == e.StartedAtMS {
@@ -410,10 +410,19 @@
 	target  time.Duration
 	// tried holds the endpoints that must not get the call again.
 	tried map[string]bool
+	// only is the only endpoint that may get the call, although it was tried; empty for any other one.
+	only string
 	// fits reports whether a choice would be admitted. It is called with the tables locked.
 	fits func(choice.Picked) bool
 }
 
+func (r placeRequest) excludes(id string) bool {
+	if r.only != "" {
+		return id != r.only
+	}
+	return r.tried[id]
+}
+
 // place chooses an endpoint for the call and counts the call there. The caller must release the
 // placement.
 func (t *tables) place(r placeRequest, now time.Time, random func() float64) (setup.Endpoint, choice.Picked, *placement, bool) {
@@ -423,7 +432,7 @@
 	request := choiceRequest(t.config, r.service, r.call)
 	request.Pace = t.pace(r.service).Estimate()
 	request.Target, request.Admits = float64(r.target.Milliseconds()), r.fits
-	candidates, leaving := t.candidates(r.service, r.call, r.tried, now)
+	candidates, leaving := t.candidates(r, now)
 	candidates, request.Sources = t.filterByVersion(r.service, candidates, random()), leaving
 	picked, ok := choice.Pick(request, candidates, random)
 	if !ok {
