--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -32,6 +32,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -89,7 +90,9 @@
 	// balancer removes a daemon after two failed health checks, a second apart.
 	drainIdleTime = 3 * time.Second
 	// drainReserve is the part of the grace period that is left for closing what remains.
-	drainReserve      = 500 * time.Millisecond
+	drainReserve = 500 * time.Millisecond
+	// flushTime is the part of drainReserve in which responses that are complete reach their callers.
+	flushTime         = 200 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
 	// drainAcceptTime is how long a draining daemon still accepts requests: the balancer sends new
 	// connections until two health checks have failed. After that, idle connections are closed and
@@ -245,6 +248,20 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
+	shutDown(servers)
+}
+
+// shutDown waits until the servers have sent their responses, at most flushTime: a request is no longer counted
+// as open once its handler has returned, but its response is flushed after that.
+func shutDown(servers []*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	var running sync.WaitGroup
+	for _, s := range servers {
+		// An error means that the time is over.
+		running.Go(func() { _ = s.Shutdown(ctx) })
+	}
+	running.Wait()
 }
 
 // age returns the time since this process's start.
