--- a/decide/retry/retry.go
+++ b/decide/retry/retry.go
@@ -58,6 +58,8 @@
 		// Accepted is set if the request was confirmed to the caller as accepted. It is then
 		// resumed even if the budget is used up.
 		Accepted bool
+		// Extra is how many further attempts are granted together with the next one.
+		Extra int
 		// LatestStart is the last time at which an attempt can still meet the deadline.
 		LatestStart time.Time
 	}
@@ -179,11 +181,11 @@
 		return b, []Command{b.decide(m)}
 	case Delayed:
 		a := m.Attempt
-		if now.Before(m.HedgeAt) || !a.Repeatable || a.Number != 1 || !b.hasBudget(a.Account, now) {
+		if now.Before(m.HedgeAt) || !a.Repeatable || a.Number != 1 || !b.hasBudget(a.Account, 1, now) {
 			return b, nil
 		}
 		numbers := b.numbers(a, now)
-		b.spend(a.Account, now)
+		b.spend(a.Account, 1, now)
 		return b, []Command{Hedge{Request: a.Request, Numbers: numbers}}
 	}
 	return b, nil
@@ -216,11 +218,11 @@
 		if a.Number >= b.settings.MaxAttempts {
 			return giveUp(AttemptsUsed, codes.NoEndpoint, "all attempts failed")
 		}
-		if !b.hasBudget(a.Account, now) {
+		if !b.hasBudget(a.Account, 1+a.Extra, now) {
 			return giveUp(BudgetUsed, codes.RetryBudget, "the retry budget is used up")
 		}
 	}
-	b.spend(a.Account, now)
+	b.spend(a.Account, 1+a.Extra, now)
 	return Retry{Request: a.Request, At: at, Numbers: numbers}
 }
 
@@ -233,11 +235,11 @@
 	return time.Duration(float64(delay) * (0.5 + random))
 }
 
-// hasBudget reports whether the budgets of the account and of the daemon allow another retry.
-func (b Budget) hasBudget(account string, now time.Time) bool {
+// hasBudget reports whether the budgets of the account and of the daemon allow more retries.
+func (b Budget) hasBudget(account string, count int, now time.Time) bool {
 	requests, retries := b.account(account, now).sum(now)
 	totalRequests, totalRetries := b.total.sum(now)
-	return retries < b.maxRetries(requests) && totalRetries < b.maxRetries(totalRequests)
+	return retries+count <= b.maxRetries(requests) && totalRetries+count <= b.maxRetries(totalRequests)
 }
 
 // maxRetries returns the number of retries that are allowed for a number of requests.
@@ -246,9 +248,9 @@
 	return int(allowed) + b.settings.ExtraRetries
 }
 
-func (b Budget) spend(account string, now time.Time) {
-	b.account(account, now).slotAt(now).retries++
-	b.total.slotAt(now).retries++
+func (b Budget) spend(account string, count int, now time.Time) {
+	b.account(account, now).slotAt(now).retries += count
+	b.total.slotAt(now).retries += count
 }
 
 // account returns the window of an account. When it adds one, it removes all windows without
--- a/decide/retry/retry_test.go
+++ b/decide/retry/retry_test.go
@@ -29,6 +29,7 @@
 		Repeatable    bool   `yaml:"Repeatable"`
 		Sent          bool   `yaml:"Sent"`
 		Accepted      bool   `yaml:"Accepted"`
+		Extra         int    `yaml:"Extra"`
 		Reclaimed     bool   `yaml:"Reclaimed"`
 		LeftMs        int    `yaml:"LeftMs"`
 		Want          string `yaml:"Want"`
@@ -43,10 +44,10 @@
 		}
 		for account, retries := range map[string]int{"a": c.Retries, "b": c.OtherRetries} {
 			for range retries {
-				budget.spend(account, start)
+				budget.spend(account, 1, start)
 			}
 		}
-		attempt := Attempt{Request: "x", Account: "a", Number: c.Number, Repeatable: c.Repeatable, Sent: c.Sent, Accepted: c.Accepted}
+		attempt := Attempt{Request: "x", Account: "a", Number: c.Number, Repeatable: c.Repeatable, Sent: c.Sent, Accepted: c.Accepted, Extra: c.Extra}
 		if c.LeftMs > 0 {
 			attempt.LatestStart = start.Add(time.Duration(c.LeftMs) * time.Millisecond)
 		}
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -29,6 +29,8 @@
 		// silence fails over to another endpoint, next, if another attempt may follow.
 		silence silence
 		next    selection
+		// returnGranted reports whether the request may return to this endpoint.
+		returnGranted bool
 		// began reports whether the endpoint has begun its response: a stream with its first event, another
 		// response with its head.
 		began bool
@@ -110,7 +112,7 @@
 	result, keep, header := a.run()
 	failedOver := a.silence.end()
 	if failedOver {
-		x.reserved, x.silent = &a.next, endpoint.ID
+		x.reserved, x.silent, x.returnGranted = &a.next, endpoint.ID, a.returnGranted
 	}
 	if stop() && keep && !failedOver {
 		x.daemon.pool.put(c, header)
@@ -148,11 +150,16 @@
 		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", "Overload", "Predicted", int(next.picked.Wait))
 		return false
 	}
-	if _, granted := x.grantRetry(stalled, sends); !granted {
+	extra := 0
+	if responseStarted {
+		// If the other endpoint can't go on, the response would be aborted without a return to this one.
+		extra = 1
+	}
+	if _, granted := x.grantRetry(stalled, sends, extra); !granted {
 		x.daemon.tables.release(next.placed)
 		return false
 	}
-	a.next = next
+	a.next, a.returnGranted = next, responseStarted
 	_ = a.endpointConn.Close()
 	return true
 }
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -37,6 +37,8 @@
 		reserved *selection
 		// silent is the endpoint that the last fail-over has left, until the request returns to it.
 		silent string
+		// returnGranted reports whether the retry budget has granted the return to it.
+		returnGranted bool
 		// mayHaveRun reports whether an endpoint may have run the request.
 		mayHaveRun bool
 		// responseStarted reports whether a part of the response was sent to the caller.
@@ -152,7 +154,10 @@
 	if !x.reserveSilent(result) {
 		return false
 	}
-	_, granted := x.grantRetry(result, sends)
+	if x.returnGranted {
+		return true
+	}
+	_, granted := x.grantRetry(result, sends, 0)
 	return granted
 }
 
@@ -263,16 +268,16 @@
 
 // requestRetry requests another attempt from the retry budget and waits for its backoff.
 func (x *exchange) requestRetry(result outcome, sends int) bool {
-	at, granted := x.grantRetry(result, sends)
+	at, granted := x.grantRetry(result, sends, 0)
 	if granted {
 		sleep(x.request.Context(), at.Sub(x.daemon.clock.now()))
 	}
 	return granted
 }
 
-// grantRetry requests another attempt from the retry budget and returns the end of its backoff. It may be
-// called while the response is being read, so it reads no field that changes then.
-func (x *exchange) grantRetry(result outcome, sends int) (time.Time, bool) {
+// grantRetry requests another attempt, and extra ones after it, from the retry budget and returns the end of the
+// backoff. It may be called while the response is being read, so it reads no field that changes then.
+func (x *exchange) grantRetry(result outcome, sends, extra int) (time.Time, bool) {
 	d := x.daemon
 	now := d.clock.now()
 	if d.tables.quarantined(x.suspect, now) {
@@ -284,7 +289,7 @@
 	}
 	command := d.budget.requestRetry(retry.Attempt{
 		Request: x.call.ID, Account: x.service, Number: sends, Repeatable: x.mayRepeat(),
-		Sent: result != notRun, LatestStart: x.deadline,
+		Sent: result != notRun, Extra: extra, LatestStart: x.deadline,
 	}, now, d.random())
 	switch c := command.(type) {
 	case retry.Retry:
