--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -92,7 +92,7 @@
 	// drainReserve is the part of the grace period that is left for closing what remains.
 	drainReserve = 500 * time.Millisecond
 	// flushTime is the part of drainReserve in which responses that are complete reach their callers.
-	flushTime         = 200 * time.Millisecond
+	flushTime         = 300 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
 	// drainAcceptTime is how long a draining daemon still accepts requests: the balancer sends new
 	// connections until two health checks have failed. After that, idle connections are closed and
