--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -148,14 +148,14 @@
 	if x.reserved != nil {
 		return true
 	}
-	if sends < x.route.MaxAttempts {
-		return x.requestRetry(result, sends)
+	if sends < x.route.MaxAttempts && x.requestRetry(result, sends) {
+		return true
 	}
 	if !x.reserveSilent(result) {
 		return false
 	}
 	if x.returnGranted {
-		return true
+		return !x.retryBarred(result, sends)
 	}
 	_, granted := x.grantRetry(result, sends, 0)
 	return granted
@@ -278,15 +278,11 @@
 // grantRetry requests another attempt, and extra ones after it, from the retry budget and returns the end of the
 // backoff. It may be called while the response is being read, so it reads no field that changes then.
 func (x *exchange) grantRetry(result outcome, sends, extra int) (time.Time, bool) {
-	d := x.daemon
-	now := d.clock.now()
-	if d.tables.quarantined(x.suspect, now) {
-		return time.Time{}, false
-	}
-	if v, rejected := x.partRejected(); rejected {
-		x.log("Not retried.", append([]any{"After", result, "Sends", sends, "Reason", "PartQuarantined"}, x.partFields(v.Part)...)...)
+	if x.retryBarred(result, sends) {
 		return time.Time{}, false
 	}
+	d := x.daemon
+	now := d.clock.now()
 	command := d.budget.requestRetry(retry.Attempt{
 		Request: x.call.ID, Account: x.service, Number: sends, Repeatable: x.mayRepeat(),
 		Sent: result != notRun, Extra: extra, LatestStart: x.deadline,
@@ -301,6 +297,18 @@
 	return time.Time{}, false
 }
 
+// retryBarred reports whether the request may crash another endpoint.
+func (x *exchange) retryBarred(result outcome, sends int) bool {
+	if x.daemon.tables.quarantined(x.suspect, x.daemon.clock.now()) {
+		return true
+	}
+	if v, rejected := x.partRejected(); rejected {
+		x.log("Not retried.", append([]any{"After", result, "Sends", sends, "Reason", "PartQuarantined"}, x.partFields(v.Part)...)...)
+		return true
+	}
+	return false
+}
+
 // fail ends a request without a complete response.
 func (x *exchange) fail(result outcome, reason string) {
 	now := x.daemon.clock.now()
