--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"lentilstage.dev/decide/choice"
@@ -20,19 +19,18 @@
 type (
 	// attempt is one send of a request to an endpoint.
 	attempt struct {
-		x            *exchange
-		ctx          context.Context
-		endpoint     setup.Endpoint
-		picked       choice.Picked
-		placed       *placement
+		x   *exchange
+		ctx context.Context
+		selection
 		sentAt       time.Time
 		endpointConn *endpointConn
 		// reused reports whether the connection has carried other requests.
 		reused bool
-		// stallTimer fails over to another endpoint if this one sends nothing for too long; nil if no
-		// other attempt may follow. stalled is set once it has done so.
-		stallTimer *time.Timer
-		stalled    atomic.Bool
+		// silence fails over to another endpoint, next, if another attempt may follow.
+		silence silence
+		next    selection
+		// returnGranted reports whether the request may return to this endpoint.
+		returnGranted bool
 		// began reports whether the endpoint has begun its response: a stream with its first event, another
 		// response with its head.
 		began bool
@@ -86,8 +84,9 @@
 
 // attempt sends the request to the endpoint and forwards the response. sends is the number of earlier
 // sends of the request.
-func (x *exchange) attempt(ctx context.Context, endpoint setup.Endpoint, picked choice.Picked, placed *placement, sends int) outcome {
-	a := &attempt{x: x, ctx: ctx, endpoint: endpoint, picked: picked, placed: placed}
+func (x *exchange) attempt(ctx context.Context, selected selection, sends int) outcome {
+	endpoint, picked := selected.endpoint, selected.picked
+	a := &attempt{x: x, ctx: ctx, selection: selected}
 	maxIdleTime := defaultIdleTime
 	if !x.mayRepeat() {
 		maxIdleTime = maxIdleUnrepeatable
@@ -100,8 +99,10 @@
 	a.sentAt = x.daemon.clock.now()
 	_ = c.SetDeadline(x.deadline)
 	if x.mayRepeat() && sends+1 < x.route.MaxAttempts {
-		a.stallTimer = time.AfterFunc(a.stallTimeout(), func() { a.failOver(sends + 1) })
-		defer a.stallTimer.Stop()
+		started := x.responseStarted
+		a.silence.start(x.daemon.clock.now, a.stallTimeout(), func(extended bool) bool {
+			return a.failOver(sends+1, started || extended)
+		})
 	}
 	x.log("Sent.", "Endpoint", endpoint.ID, "DataCentre", endpoint.DataCentre, "Predicted", int(picked.Wait),
 		"Load", picked.Candidate.Load.Requests, "Cost", int(x.cost), "Uncached", picked.Uncached,
@@ -109,7 +110,11 @@
 	// Closes the connection as soon as the caller leaves, which cancels the work at the endpoint.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	result, keep, header := a.run()
-	if stop() && keep {
+	failedOver := a.silence.end()
+	if failedOver {
+		x.reserved, x.silent, x.returnGranted = &a.next, endpoint.ID, a.returnGranted
+	}
+	if stop() && keep && !failedOver {
 		x.daemon.pool.put(c, header)
 	} else {
 		_ = c.Close()
@@ -127,14 +132,36 @@
 	return time.Duration(busyFraction * float64(target))
 }
 
-// failOver ends an attempt that has stalled, if the retry budget grants another one. Otherwise the
-// attempt goes on.
-func (a *attempt) failOver(sends int) {
-	if a.ctx.Err() != nil || !a.x.requestRetry(stalled, sends) {
-		return
+// failOver ends an attempt that has stalled and reports whether it did: only if another endpoint can take the
+// request and the retry budget grants another attempt. Otherwise the attempt goes on, since the endpoint may
+// be sound and only silent. There is no backoff after the stall timeout.
+func (a *attempt) failOver(sends int, responseStarted bool) bool {
+	x := a.x
+	if a.ctx.Err() != nil {
+		return false
+	}
+	next, ok := x.selectEndpoint(responseStarted)
+	if !ok {
+		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", "NoEndpoint")
+		return false
+	}
+	if verdict := x.checkAdmission(next.picked, responseStarted); !verdict.Admitted {
+		x.daemon.tables.release(next.placed)
+		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", "Overload", "Predicted", int(next.picked.Wait))
+		return false
+	}
+	extra := 0
+	if responseStarted {
+		// If the other endpoint can't go on, the response would be aborted without a return to this one.
+		extra = 1
+	}
+	if _, granted := x.grantRetry(stalled, sends, extra); !granted {
+		x.daemon.tables.release(next.placed)
+		return false
 	}
-	a.stalled.Store(true)
+	a.next, a.returnGranted = next, responseStarted
 	_ = a.endpointConn.Close()
+	return true
 }
 
 func (a *attempt) dialFailed(err error) outcome {
@@ -321,7 +348,7 @@
 
 // classifyError returns the outcome for an error on the connection.
 func (a *attempt) classifyError(err error) outcome {
-	if a.stalled.Load() {
+	if a.silence.hasFailedOver() {
 		return stalled
 	}
 	a.x.log("Connection failed.", "Endpoint", a.endpoint.ID, "Error", err.Error())
@@ -352,11 +379,11 @@
 	return delivered, nil
 }
 
-// forwardLarge forwards a response while it is being read. head holds the part that was read already.
+// forwardLarge forwards a response while it is being read. head holds the part that was read already. No
+// other attempt may follow once it has started.
 func (a *attempt) forwardLarge(head *bufferedResponse, rest io.Reader) (outcome, error) {
-	if a.stallTimer != nil {
-		// No other attempt may follow a response that has started.
-		a.stallTimer.Stop()
+	if a.silence.end() {
+		return stalled, errConnUnusable
 	}
 	copyHeader(a.x.writer.Header(), head.header)
 	a.x.writer.WriteHeader(head.status)
