relay, adapt, plat: lines tell what a response says of its endpoint

Whether an endpoint said in a response that it is leaving, or for how long it wants no requests, was decoded nowhere. Both are decoded now and logged; nothing acts on them yet.

--- a/entryd/relay/adapter.go
+++ b/entryd/relay/adapter.go
@@ -127,6 +127,11 @@
 		Misdirected bool
 		// Signed reports whether the response has an endpoint's signature.
 		Signed bool
+		// Leaving reports that the process that sent the response is leaving.
+		Leaving bool
+		// RejectsUntil is the time until which an endpoint that rejected the request wants no other one
+		// from this daemon; zero if it states none.
+		RejectsUntil time.Time
 	}
 
 	// Codec translates between the platform's messages and the daemon's types.
@@ -136,7 +141,7 @@
 		// RequestHeader returns the header of a request to an endpoint.
 		RequestHeader func(c Call, s AttemptInfo) http.Header
 		// ReadReply reads the head of an endpoint's response.
-		ReadReply func(status int, header http.Header) Reply
+		ReadReply func(status int, header http.Header, now time.Time) Reply
 		// RefusalHeader returns the header of the daemon's own responses. A zero retryAt leaves out
 		// when to retry.
 		RefusalHeader func(c Call, retryAt, now time.Time) http.Header
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -36,6 +36,8 @@
 		// began reports whether the endpoint has begun its response: a stream with its first event, another
 		// response with its head.
 		began bool
+		// reply is what the head of the response says; its zero value until the head was read.
+		reply Reply
 		// writeResult receives the result of a write that runs while the response is read.
 		writeResult chan error
 	}
@@ -180,6 +182,9 @@
 		// With the parts of the prompt, a reader can tell whether one of them is common to the crashes.
 		fields = append(fields, "Began", a.began, "Parts", partNames(x.call.Parts))
 	}
+	if a.reply.Leaving {
+		fields = append(fields, "SaidLeaving", true)
+	}
 	x.log("Attempt ended.", fields...)
 	return result
 }
@@ -207,11 +212,13 @@
 	if err != nil {
 		return a.classifyError(err), false, nil
 	}
+	a.reply = reply
 	if reply.Misdirected {
 		a.x.daemon.tables.excludeMisdirected(a.endpoint)
 	}
 	if reply.NotRun {
-		a.x.log("Not run.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode, "Misdirected", reply.Misdirected)
+		a.x.log("Not run.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode, "Misdirected", reply.Misdirected,
+			"RejectsUntil", reply.RejectsUntil)
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
 		return notRun, err == nil && a.reusable(response), response.Header
 	}
@@ -302,7 +309,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		reply := a.x.daemon.codec.ReadReply(response.StatusCode, response.Header)
+		reply := a.x.daemon.codec.ReadReply(response.StatusCode, response.Header, a.x.daemon.clock.now())
 		// On a connection that was used before, a response without an identifier may be a late copy of
 		// an earlier one.
 		if reply.CallID == a.x.call.ID || reply.CallID == "" && !a.reused {
