DRAIN: an endpoint that says it is leaving gets no further requests

Seen by replicas: a daemon passed on an answer with Server-Leaving and went on sending requests to that replica until its registration said draining, which is late while the log is away, and never comes for some replicas.

Cause: a daemon knew of leaving only by the log. What it heard first hand, in the responses that it passes on, was not read.

The roster now takes this as a message beside the records. From the next placement on the endpoint is as one that registered as leaving: no requests, none of its idle connections, still a source of cached tokens. Requests in flight go on. Capacity plans count it out too.

It is not told to other daemons: the registration reaches them, each hears it from its own responses, and a mark from others would have to outlive a restart of its teller.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -5,6 +5,10 @@
 // record is therefore ignored during the outage and for a grace period after it; an endpoint whose
 // record is still missing then is removed. A record with the state Leaving takes effect immediately.
 //
+// An endpoint may also say in a response that it is leaving, long before its record does or without
+// such a record. That holds until a new process registers: no record of the same process revokes it,
+// also after an expired registration has returned.
+//
 // # Usage
 //
 //	state := roster.New()
@@ -50,6 +54,11 @@
 		ID     string
 	}
 
+	// LeavingAnnounced reports that the process of an endpoint has said in a response that it is leaving.
+	LeavingAnnounced struct {
+		Endpoint setup.Endpoint
+	}
+
 	// Listed reports a full listing of the records up to the offset End. An endpoint that has an
 	// older record and is not in IDs was deleted.
 	Listed struct {
@@ -99,6 +108,8 @@
 		// missing reports that the record was deleted while the endpoint may be alive; the endpoint
 		// is removed at graceUntil.
 		missing bool
+		// announced reports that the process has said in a response that it is leaving.
+		announced bool
 	}
 )
 
@@ -111,6 +122,8 @@
 	Restarted Reason = "Restarted"
 	// Left means that the endpoint entered the state Leaving.
 	Left Reason = "Left"
+	// Announced means that the endpoint, which is registered as ready, has said that it is leaving.
+	Announced Reason = "Announced"
 	// Gone means that the endpoint was removed.
 	Gone Reason = "Gone"
 
@@ -145,6 +158,8 @@
 		e.offset, e.present, e.missing = m.Offset, false, false
 		s.entries[m.ID] = e
 		return s, []Change{{Endpoint: e.endpoint, Reason: Gone}}
+	case LeavingAnnounced:
+		return s.announce(m.Endpoint)
 	case Listed:
 		return s.listed(m)
 	case LogLost:
@@ -168,20 +183,47 @@
 	if exists && m.Offset <= old.offset {
 		return s, nil
 	}
-	s.entries[m.Endpoint.ID] = entry{endpoint: m.Endpoint, offset: m.Offset, present: true}
+	e := entry{
+		endpoint: m.Endpoint, offset: m.Offset, present: true,
+		announced: exists && old.announced && old.endpoint.SameProcess(m.Endpoint),
+	}
+	s.entries[m.Endpoint.ID] = e
 	switch {
 	case !exists || !old.present:
-		return s, []Change{{Endpoint: m.Endpoint, Reason: Joined}}
+		return s, []Change{{Endpoint: e.current(), Reason: Joined}}
 	case !old.endpoint.SameProcess(m.Endpoint):
 		return s, []Change{{Endpoint: m.Endpoint, Reason: Restarted}}
 	case old.endpoint.State != setup.Leaving && m.Endpoint.State == setup.Leaving:
 		return s, []Change{{Endpoint: m.Endpoint, Reason: Left}}
 	case old.endpoint.RoutingAttributes() != m.Endpoint.RoutingAttributes():
-		return s, []Change{{Endpoint: m.Endpoint, Reason: Updated}}
+		return s, []Change{{Endpoint: e.current(), Reason: Updated}}
 	}
 	return s, nil
 }
 
+// announce records that an endpoint's process is leaving, unless another process has registered since.
+func (s State) announce(endpoint setup.Endpoint) (State, []Change) {
+	e, ok := s.entries[endpoint.ID]
+	if !ok || e.announced || !e.endpoint.SameProcess(endpoint) {
+		return s, nil
+	}
+	e.announced = true
+	s.entries[endpoint.ID] = e
+	if !e.present || e.endpoint.State == setup.Leaving {
+		return s, nil
+	}
+	return s, []Change{{Endpoint: e.current(), Reason: Announced}}
+}
+
+// current returns the endpoint with the state that applies to it.
+func (e entry) current() setup.Endpoint {
+	endpoint := e.endpoint
+	if e.announced {
+		endpoint.State = setup.Leaving
+	}
+	return endpoint
+}
+
 // missing removes an entry without a record, or marks it as missing during an outage of the log
 // and its grace period.
 func (s State) missing(id string, e entry, now time.Time) (State, []Change) {
@@ -238,18 +280,22 @@
 	return s, changes
 }
 
-// Endpoints returns the registered endpoints, sorted by identifier.
+// Endpoints returns the registered endpoints, sorted by identifier. Those that have announced that they
+// are leaving have the state Leaving, whatever they are registered as.
 func (s State) Endpoints() []setup.Endpoint {
 	var endpoints []setup.Endpoint
 	for _, e := range s.entries {
 		if e.present {
-			endpoints = append(endpoints, e.endpoint)
+			endpoints = append(endpoints, e.current())
 		}
 	}
 	slices.SortFunc(endpoints, func(a, b setup.Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return endpoints
 }
 
+// RegisteredState returns the state in an endpoint's newest record; empty if the endpoint is unknown.
+func (s State) RegisteredState(id string) setup.State { return s.entries[id].endpoint.State }
+
 // Offset returns the offset of the endpoint's newest record, or -1 if the endpoint is unknown.
 func (s State) Offset(id string) int64 {
 	if e, ok := s.entries[id]; ok {
@@ -258,10 +304,11 @@
 	return -1
 }
 
-func (Put) message()          {}
-func (Deleted) message()      {}
-func (Removed) message()      {}
-func (Listed) message()       {}
-func (LogLost) message()      {}
-func (LogRecovered) message() {}
-func (Tick) message()         {}
+func (Put) message()              {}
+func (Deleted) message()          {}
+func (Removed) message()          {}
+func (LeavingAnnounced) message() {}
+func (Listed) message()           {}
+func (LogLost) message()          {}
+func (LogRecovered) message()     {}
+func (Tick) message()             {}
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -23,6 +23,7 @@
 		At       float64  `yaml:"At"`
 		Put      string   `yaml:"Put"`
 		Drop     string   `yaml:"Drop"`
+		Announce string   `yaml:"Announce"`
 		List     []string `yaml:"List"`
 		Offset   int64    `yaml:"Offset"`
 		End      int64    `yaml:"End"`
@@ -77,6 +78,8 @@
 		return Put{Offset: s.Offset, Now: now, Endpoint: setup.Endpoint{ID: s.Put, State: state, StartedAtMS: s.Born}}
 	case s.Drop != "":
 		return Deleted{Offset: s.Offset, ID: s.Drop, Now: now}
+	case s.Announce != "":
+		return LeavingAnnounced{Endpoint: setup.Endpoint{ID: s.Announce, StartedAtMS: s.Born}}
 	case s.Lost:
 		return LogLost{Now: now}
 	case s.Returned:
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -213,6 +213,9 @@
 		return a.classifyError(err), false, nil
 	}
 	a.reply = reply
+	if reply.Leaving {
+		a.recordLeaving()
+	}
 	if reply.Misdirected {
 		a.x.daemon.tables.excludeMisdirected(a.endpoint)
 	}
@@ -237,9 +240,20 @@
 	return result, err == nil && a.reusable(response), response.Header
 }
 
-// reusable reports whether nothing of the request or its response is left on the connection.
+// recordLeaving takes the endpoint out of use from the next request on: its registration may say so late, or
+// never. Others learn it from the registration or from the endpoint's responses to them.
+func (a *attempt) recordLeaving() {
+	d := a.x.daemon
+	if changes := d.tables.recordLeaving(a.endpoint); len(changes) > 0 {
+		d.meters.count("Endpoints.Announced")
+		d.logChanges(changes)
+	}
+}
+
+// reusable reports whether another request may be sent on the connection: nothing of this request or its response
+// is left on it.
 func (a *attempt) reusable(response *http.Response) bool {
-	if response.Close || response.StatusCode == http.StatusRequestTimeout || a.endpointConn.reader.Buffered() > 0 {
+	if response.Close || a.reply.Leaving || response.StatusCode == http.StatusRequestTimeout || a.endpointConn.reader.Buffered() > 0 {
 		return false
 	}
 	if !framed(response) {
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -274,7 +274,8 @@
 	t.endpointsHash, t.endpointHashes = 0, rosterHashes{}
 	var members []health.Member
 	for _, e := range t.endpoints {
-		hash := xxhash.Sum64String(fmt.Sprint(e.ID, e.Address, e.State, e.StartedAtMS))
+		// What an endpoint has said to this daemon alone is no difference from the records of others.
+		hash := xxhash.Sum64String(fmt.Sprint(e.ID, e.Address, t.roster.RegisteredState(e.ID), e.StartedAtMS))
 		t.endpointsHash ^= hash
 		t.endpointHashes[bucketOf(e.ID)] ^= hash
 		members = append(members, health.Member{Instance: e.ID, DataCentre: e.DataCentre, Routes: []string{e.Service}, Incarnation: e.StartedAtMS})
@@ -535,6 +536,13 @@
 	t.misdirected[endpoint.ID] = endpoint.StartedAtMS
 }
 
+// recordLeaving records that an endpoint has said in a response that it is leaving.
+func (t *tables) recordLeaving(endpoint setup.Endpoint) []roster.Change {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.updateRoster(roster.LeavingAnnounced{Endpoint: endpoint})
+}
+
 // takeAllowance takes a request's cost from its client account's allowance, if that suffices.
 func (t *tables) takeAllowance(account string, cost float64, now time.Time) quota.Decision {
 	t.mutex.Lock()
--- a/entryd/relay/tables_test.go
+++ b/entryd/relay/tables_test.go
@@ -70,3 +70,24 @@
 		}
 	}
 }
+
+// TestAnnouncedLeavingIsNoDivergence guards against a daemon that fetches the endpoints of its hub again and again
+// because an endpoint has said to this daemon alone that it is leaving.
+func TestAnnouncedLeavingIsNoDivergence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	endpoint := setup.Endpoint{ID: "e1", Service: "pool", Address: "127.0.0.1:1", Slots: 4, State: setup.Ready}
+	var told, other *tables
+	for _, known := range []**tables{&told, &other} {
+		*known = newTables(Settings{Name: "entry-1"}, "first")
+		(*known).putEndpoint(Record{Key: "e1", Offset: 1}, endpoint, now)
+	}
+	if changes := told.recordLeaving(endpoint); len(changes) != 1 {
+		t.Fatalf("changes %v, want one", changes)
+	}
+	if told.rosterHash(now) != other.rosterHash(now) || told.hashes(now) != other.hashes(now) {
+		t.Error("the hashes of the endpoints differ")
+	}
+	if e, ok := told.endpoint("e1"); !ok || e.State != setup.Leaving {
+		t.Errorf("endpoint %+v, want one that is leaving", e)
+	}
+}
--- a/lsbench/record.go
+++ b/lsbench/record.go
@@ -177,7 +177,7 @@
 	state := endpointState{endpoint: line.Endpoint, ready: true}
 	switch line.Reason {
 	case roster.Joined:
-	case roster.Left, roster.Gone:
+	case roster.Left, roster.Announced, roster.Gone:
 		state.ready = false
 	default:
 		return
