BUDGET: no requests to an endpoint for the time that it rejects them

Seen by replicas: a replica that answered 503 with Retry-After went on getting requests from that daemon; each cost the caller a rejection and a draw on the retry budget, or a 503 where the route allows one attempt.

Cause: Retry-After of a replica was not read. A rejection said nothing of the endpoint, whose load even looked lower for it.

The end of the time is kept in the roster by process, as leaving is: of several the latest holds, a new process and nothing else ends it early, also not a registration that lapsed and returned. No request is placed there before, also not as the last endpoint of a service, and a request that was being connected meanwhile is not sent. In a roll-out, rejecting endpoints count in the choice of the version: otherwise the new version would get everything while the old one rejects (EXPOSURE). If all endpoints of a service reject, callers are refused at once with the first of the times, or with 0.4 s if they can't wait so long, since another daemon may be served.

--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -43,7 +43,6 @@
 
 const (
 	// minRetryDelay and maxRetryDelay bound the time until a refused request is to be retried.
-	// Callers respect it up to a third of the time until their deadline.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 1200 * time.Millisecond
 	// waitFraction is the fraction of the target that the wait of the most urgent requests may
@@ -54,6 +53,9 @@
 	waitFraction     = 0.5
 	rankFraction     = 0.05
 	minQueueFraction = 0.05
+	// patienceDivisor divides the time until the deadline: for longer than the result, callers don't wait
+	// before they retry.
+	patienceDivisor = 3
 	// deadlineFraction is the fraction of the time until the deadline that the wait may take.
 	deadlineFraction = 0.9
 )
@@ -65,7 +67,17 @@
 	queue := r.Wait - r.Own
 	v.Admitted = queue <= v.Limit && float64(r.Wait) <= deadlineFraction*float64(r.Left)
 	if !v.Admitted {
-		v.RetryAt = now.Add(min(max(queue-v.Limit/2, minRetryDelay), maxRetryDelay, r.Left/3))
+		v.RetryAt = now.Add(min(max(queue-v.Limit/2, minRetryDelay), maxRetryDelay, r.Left/patienceDivisor))
 	}
 	return v
 }
+
+// RetryAt returns when the caller may retry a request to a service whose endpoints all reject this daemon's
+// requests until a time. A caller that can't wait that long should try another daemon, whose requests they may
+// take, after otherwise.
+func RetryAt(opensAt time.Time, otherwise, left time.Duration, now time.Time) time.Time {
+	if opensAt.Sub(now) > left/patienceDivisor {
+		return now.Add(otherwise)
+	}
+	return opensAt
+}
--- a/decide/admit/admit_test.go
+++ b/decide/admit/admit_test.go
@@ -34,6 +34,26 @@
 	}
 }
 
+// TestRejections guards against callers that are told to wait for an endpoint for longer than they can, or that come
+// back too early.
+func TestRejections(t *testing.T) {
+	// Times are in milliseconds.
+	type rejectionCase struct {
+		Name       string `yaml:"Name"`
+		OpensIn    int    `yaml:"OpensIn"`
+		Left       int    `yaml:"Left"`
+		RetryAfter int    `yaml:"RetryAfter"`
+	}
+	const otherwise = 400 * time.Millisecond
+	now := time.Unix(1000, 0)
+	ms := func(count int) time.Duration { return time.Duration(count) * time.Millisecond }
+	for _, c := range cases.Load[rejectionCase](t, "testdata/rejections.yaml") {
+		if got := RetryAt(now.Add(ms(c.OpensIn)), otherwise, ms(c.Left), now).Sub(now); got != ms(c.RetryAfter) {
+			t.Errorf("%s: retry after %v, want %v", c.Name, got, ms(c.RetryAfter))
+		}
+	}
+}
+
 // TestOverload simulates a load of three times the capacity on one engine, with and without
 // admission control. It guards against admission control that does not clearly increase the
 // number of answers in time.
--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -7,7 +7,8 @@
 //
 // An endpoint may also say in a response that it is leaving, long before its record does or without
 // such a record. That holds until a new process registers: no record of the same process revokes it,
-// also after an expired registration has returned.
+// also after an expired registration has returned. The time until which it wants no requests from this
+// daemon is kept in the same way.
 //
 // # Usage
 //
@@ -59,6 +60,14 @@
 		Endpoint setup.Endpoint
 	}
 
+	// Rejected reports that the process of an endpoint has said in a response that it wants no requests
+	// from this daemon until a time.
+	Rejected struct {
+		Endpoint setup.Endpoint
+		Until    time.Time
+		Now      time.Time
+	}
+
 	// Listed reports a full listing of the records up to the offset End. An endpoint that has an
 	// older record and is not in IDs was deleted.
 	Listed struct {
@@ -110,6 +119,8 @@
 		missing bool
 		// announced reports that the process has said in a response that it is leaving.
 		announced bool
+		// rejectsUntil is when the process takes requests of this daemon again; zero if it always did.
+		rejectsUntil time.Time
 	}
 )
 
@@ -124,6 +135,8 @@
 	Left Reason = "Left"
 	// Announced means that the endpoint, which is registered as ready, has said that it is leaving.
 	Announced Reason = "Announced"
+	// Rejecting means that the endpoint, which took requests, wants none for some time.
+	Rejecting Reason = "Rejecting"
 	// Gone means that the endpoint was removed.
 	Gone Reason = "Gone"
 
@@ -160,6 +173,8 @@
 		return s, []Change{{Endpoint: e.endpoint, Reason: Gone}}
 	case LeavingAnnounced:
 		return s.announce(m.Endpoint)
+	case Rejected:
+		return s.reject(m)
 	case Listed:
 		return s.listed(m)
 	case LogLost:
@@ -183,9 +198,9 @@
 	if exists && m.Offset <= old.offset {
 		return s, nil
 	}
-	e := entry{
-		endpoint: m.Endpoint, offset: m.Offset, present: true,
-		announced: exists && old.announced && old.endpoint.SameProcess(m.Endpoint),
+	e := entry{endpoint: m.Endpoint, offset: m.Offset, present: true}
+	if exists && old.endpoint.SameProcess(m.Endpoint) {
+		e.announced, e.rejectsUntil = old.announced, old.rejectsUntil
 	}
 	s.entries[m.Endpoint.ID] = e
 	switch {
@@ -215,6 +230,22 @@
 	return s, []Change{{Endpoint: e.current(), Reason: Announced}}
 }
 
+// reject records until when an endpoint's process wants no requests. Of several times the latest holds, since
+// responses may arrive in any order.
+func (s State) reject(m Rejected) (State, []Change) {
+	e, ok := s.entries[m.Endpoint.ID]
+	if !ok || !e.endpoint.SameProcess(m.Endpoint) || !m.Until.After(e.rejectsUntil) {
+		return s, nil
+	}
+	rejected := m.Now.Before(e.rejectsUntil)
+	e.rejectsUntil = m.Until
+	s.entries[m.Endpoint.ID] = e
+	if rejected || !e.present {
+		return s, nil
+	}
+	return s, []Change{{Endpoint: e.current(), Reason: Rejecting}}
+}
+
 // current returns the endpoint with the state that applies to it.
 func (e entry) current() setup.Endpoint {
 	endpoint := e.endpoint
@@ -296,6 +327,9 @@
 // RegisteredState returns the state in an endpoint's newest record; empty if the endpoint is unknown.
 func (s State) RegisteredState(id string) setup.State { return s.entries[id].endpoint.State }
 
+// RejectsUntil returns when an endpoint takes requests of this daemon again; zero if it always did.
+func (s State) RejectsUntil(id string) time.Time { return s.entries[id].rejectsUntil }
+
 // Offset returns the offset of the endpoint's newest record, or -1 if the endpoint is unknown.
 func (s State) Offset(id string) int64 {
 	if e, ok := s.entries[id]; ok {
@@ -308,6 +342,7 @@
 func (Deleted) message()          {}
 func (Removed) message()          {}
 func (LeavingAnnounced) message() {}
+func (Rejected) message()         {}
 func (Listed) message()           {}
 func (LogLost) message()          {}
 func (LogRecovered) message()     {}
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -16,14 +16,19 @@
 		Name  string   `yaml:"Name"`
 		Steps []step   `yaml:"Steps"`
 		End   []string `yaml:"End"`
+		// RejectsUntil holds the time in seconds of each endpoint that has rejected requests.
+		RejectsUntil map[string]float64 `yaml:"RejectsUntil"`
 	}
 
 	step struct {
 		// At is the time of the step in seconds.
-		At       float64  `yaml:"At"`
-		Put      string   `yaml:"Put"`
-		Drop     string   `yaml:"Drop"`
-		Announce string   `yaml:"Announce"`
+		At       float64 `yaml:"At"`
+		Put      string  `yaml:"Put"`
+		Drop     string  `yaml:"Drop"`
+		Announce string  `yaml:"Announce"`
+		Reject   string  `yaml:"Reject"`
+		// Until is the time in seconds until which an endpoint wants no requests.
+		Until    float64  `yaml:"Until"`
 		List     []string `yaml:"List"`
 		Offset   int64    `yaml:"Offset"`
 		End      int64    `yaml:"End"`
@@ -65,10 +70,24 @@
 	if !slices.Equal(end, s.End) {
 		t.Errorf("endpoints = %v, want %v", end, s.End)
 	}
+	for _, e := range state.Endpoints() {
+		var want time.Time
+		if until, ok := s.RejectsUntil[e.ID]; ok {
+			want = at(until)
+		}
+		if got := state.RejectsUntil(e.ID); !got.Equal(want) {
+			t.Errorf("%s rejects until %v, want %v", e.ID, got, want)
+		}
+	}
+}
+
+// at returns a time of a script, which is in seconds.
+func at(seconds float64) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
 }
 
 func (s step) message() Message {
-	now := time.Unix(1000, 0).Add(time.Duration(s.At * float64(time.Second)))
+	now := at(s.At)
 	switch {
 	case s.Put != "":
 		state := setup.Ready
@@ -80,6 +99,8 @@
 		return Deleted{Offset: s.Offset, ID: s.Drop, Now: now}
 	case s.Announce != "":
 		return LeavingAnnounced{Endpoint: setup.Endpoint{ID: s.Announce, StartedAtMS: s.Born}}
+	case s.Reject != "":
+		return Rejected{Endpoint: setup.Endpoint{ID: s.Reject, StartedAtMS: s.Born}, Until: at(s.Until), Now: now}
 	case s.Lost:
 		return LogLost{Now: now}
 	case s.Returned:
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -14,6 +14,7 @@
 
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
+	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -98,6 +99,12 @@
 	if err != nil {
 		return a.dialFailed(err)
 	}
+	if now := x.daemon.clock.now(); !reused && x.daemon.tables.rejects(endpoint.ID, now) {
+		// It has rejected another request while this one was being connected.
+		_ = c.Close()
+		x.log("Not sent.", "Endpoint", endpoint.ID, "Reason", roster.Rejecting)
+		return notSent
+	}
 	a.endpointConn, a.reused = c, reused
 	a.sentAt = x.daemon.clock.now()
 	_ = c.SetDeadline(x.deadline)
@@ -216,12 +223,14 @@
 	if reply.Leaving {
 		a.recordLeaving()
 	}
+	if !reply.RejectsUntil.IsZero() {
+		a.recordRejection(reply.RejectsUntil)
+	}
 	if reply.Misdirected {
 		a.x.daemon.tables.excludeMisdirected(a.endpoint)
 	}
 	if reply.NotRun {
-		a.x.log("Not run.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode, "Misdirected", reply.Misdirected,
-			"RejectsUntil", reply.RejectsUntil)
+		a.x.log("Not run.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode, "Misdirected", reply.Misdirected)
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
 		return notRun, err == nil && a.reusable(response), response.Header
 	}
@@ -250,6 +259,15 @@
 	}
 }
 
+// recordRejection keeps requests from the endpoint until a time.
+func (a *attempt) recordRejection(until time.Time) {
+	d := a.x.daemon
+	if d.tables.recordRejection(a.endpoint, until, d.clock.now()) {
+		d.meters.count("Endpoints.Rejecting")
+		a.x.log("Endpoint rejects requests.", "Endpoint", a.endpoint.ID, "Service", a.endpoint.Service, "Until", until)
+	}
+}
+
 // reusable reports whether another request may be sent on the connection: nothing of this request or its response
 // is left on it.
 func (a *attempt) reusable(response *http.Response) bool {
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -141,7 +141,7 @@
 		fits: func(p choice.Picked) bool { return x.checkAdmission(p).Admitted },
 	}, d.clock.now(), d.random)
 	if !ok {
-		x.fail(notSent, "NoEndpoint")
+		x.failWithoutEndpoint()
 		return endpoint, picked, nil, false
 	}
 	if verdict := x.checkAdmission(picked); !verdict.Admitted {
@@ -152,6 +152,24 @@
 	return endpoint, picked, placed, true
 }
 
+// failWithoutEndpoint ends a request that no endpoint can get. If all endpoints of the service reject requests,
+// the caller is told when the first one takes them again.
+func (x *exchange) failWithoutEndpoint() {
+	now := x.daemon.clock.now()
+	opensAt := x.daemon.tables.opensAt(x.service, now)
+	if opensAt.IsZero() || x.responseStarted || x.failedResponse != nil || x.mayHaveRun {
+		x.fail(notSent, "NoEndpoint")
+		return
+	}
+	// The route's timeout ends this request, not the caller's wait.
+	waitsUntil := x.call.Deadline
+	if waitsUntil.IsZero() {
+		waitsUntil = x.deadline
+	}
+	x.refuse(http.StatusServiceUnavailable, "EndpointsReject",
+		admit.RetryAt(opensAt, noEndpointRetry, waitsUntil.Sub(now), now), "OpensAt", opensAt)
+}
+
 // checkAdmission decides whether the request may go to the selected endpoint, by its predicted wait.
 func (x *exchange) checkAdmission(picked choice.Picked) admit.Decision {
 	now := x.daemon.clock.now()
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -356,17 +356,23 @@
 	})
 }
 
-// candidates returns the endpoints of the service that may serve the call, and the leaving ones,
-// which may still have cached a part of its prompt. Endpoints that were tried are excluded, and
-// unhealthy ones unless no other is left.
-func (t *tables) candidates(service string, call Call, tried map[string]bool, now time.Time) (serving, leaving []choice.Candidate) {
+// candidates are the endpoints of a service that a call was not sent to yet.
+type candidates struct {
+	healthy, unhealthy []choice.Candidate
+	// leaving may still have cached a part of the call's prompt.
+	leaving []choice.Candidate
+	// rejecting holds those of the healthy and the unhealthy ones that want no requests of this daemon at present.
+	rejecting map[string]bool
+}
+
+// candidates returns the endpoints of the service that the call was not sent to yet.
+func (t *tables) candidates(service string, call Call, tried map[string]bool, now time.Time) candidates {
 	memory := 0
 	if s, ok := t.config.Services[service]; ok && s.Engine != nil {
 		memory = s.Engine.KVCacheTokens
 	}
 	loads, parts := t.peerLoads(now), shortParts(call.Parts)
-	var unhealthy []choice.Candidate
-	serving = make([]choice.Candidate, 0, len(t.endpoints))
+	found := candidates{healthy: make([]choice.Candidate, 0, len(t.endpoints))}
 	for _, e := range t.endpoints {
 		if e.Service != service || tried[e.ID] {
 			continue
@@ -380,19 +386,71 @@
 			Load: t.load(e.ID, loads), Cached: t.prefixTable.tokens(shortID(e.ID), parts, now),
 			Local: e.DataCentre == t.centre, Penalty: float64(status.Penalty.Milliseconds()),
 		}
-		switch {
-		case e.State != setup.Ready:
-			leaving = append(leaving, c)
-		case status.Blocked():
-			unhealthy = append(unhealthy, c)
-		default:
-			serving = append(serving, c)
+		if e.State != setup.Ready {
+			found.leaving = append(found.leaving, c)
+			continue
+		}
+		if now.Before(t.roster.RejectsUntil(e.ID)) {
+			if found.rejecting == nil {
+				found.rejecting = map[string]bool{}
+			}
+			found.rejecting[e.ID] = true
+		}
+		if status.Blocked() {
+			found.unhealthy = append(found.unhealthy, c)
+		} else {
+			found.healthy = append(found.healthy, c)
 		}
 	}
-	if len(serving) == 0 {
-		return unhealthy, leaving
+	return found
+}
+
+// open returns the candidates that don't reject requests.
+func (c candidates) open(list []choice.Candidate) []choice.Candidate {
+	if len(c.rejecting) == 0 {
+		return list
 	}
-	return serving, leaving
+	return slices.DeleteFunc(slices.Clone(list), func(o choice.Candidate) bool { return c.rejecting[o.ID] })
+}
+
+// usable returns the candidates that may get the call: no rejecting ones, and unhealthy ones only if no other
+// is left. In a roll-out the rejecting ones count in the choice of the version. Otherwise a new version that has
+// not been tested would get all requests while those of the old version reject some.
+func (t *tables) usable(service string, c candidates, random float64) []choice.Candidate {
+	list := c.healthy
+	if len(c.open(list)) == 0 {
+		list = slices.Concat(c.healthy, c.unhealthy)
+	}
+	return c.open(t.filterByVersion(service, list, random))
+}
+
+// opensAt returns when the first endpoint of the service takes requests again if all reject them; zero if one
+// takes them or none is known.
+func (t *tables) opensAt(service string, now time.Time) time.Time {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.refresh(now)
+	var first time.Time
+	for _, e := range t.endpoints {
+		if e.Service != service || e.State != setup.Ready {
+			continue
+		}
+		until := t.roster.RejectsUntil(e.ID)
+		if !now.Before(until) {
+			return time.Time{}
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first
+}
+
+// rejects reports whether the endpoint wants no requests of this daemon at present.
+func (t *tables) rejects(id string, now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return now.Before(t.roster.RejectsUntil(id))
 }
 
 // endpoint returns a known endpoint.
@@ -424,9 +482,9 @@
 	request := choiceRequest(t.config, r.service, r.call)
 	request.Pace = t.pace(r.service).Estimate()
 	request.Target, request.Admits = float64(r.target.Milliseconds()), r.fits
-	candidates, leaving := t.candidates(r.service, r.call, r.tried, now)
-	candidates, request.Sources = t.filterByVersion(r.service, candidates, random()), leaving
-	picked, ok := choice.Pick(request, candidates, random)
+	found := t.candidates(r.service, r.call, r.tried, now)
+	request.Sources = found.leaving
+	picked, ok := choice.Pick(request, t.usable(r.service, found, random()), random)
 	if !ok {
 		return setup.Endpoint{}, picked, nil, false
 	}
@@ -543,6 +601,13 @@
 	return t.updateRoster(roster.LeavingAnnounced{Endpoint: endpoint})
 }
 
+// recordRejection records until when an endpoint wants no requests, and reports whether it took them before.
+func (t *tables) recordRejection(endpoint setup.Endpoint, until, now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.updateRoster(roster.Rejected{Endpoint: endpoint, Until: until, Now: now})) > 0
+}
+
 // takeAllowance takes a request's cost from its client account's allowance, if that suffices.
 func (t *tables) takeAllowance(account string, cost float64, now time.Time) quota.Decision {
 	t.mutex.Lock()
--- a/entryd/relay/tables_test.go
+++ b/entryd/relay/tables_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"lentilstage.dev/decide/health"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -91,3 +93,53 @@
 		t.Errorf("endpoint %+v, want one that is leaving", e)
 	}
 }
+
+// TestRejectingOldVersionKeepsItsShare guards against a roll-out whose new version gets all requests because the
+// endpoints of the old version reject some for a while, and against unhealthy endpoints that are used although they
+// reject requests.
+func TestRejectingOldVersionKeepsItsShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tables := newTables(Settings{Name: "entry-1"}, "first")
+	config, err := setup.New(1, nil, []setup.Service{{Name: "pool"}}, nil, setup.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tables.applyConfig(config, Record{Key: "config"}, now)
+	tables.startRollout(Rollout{Service: "pool", Target: "v2", TimeLimit: time.Minute}, Record{Key: "rollout", Offset: 2}, now)
+	endpoints := map[string]setup.Endpoint{}
+	for i, version := range []string{"v1", "v1", "v2"} {
+		id := fmt.Sprint("e", i+1)
+		endpoints[id] = setup.Endpoint{ID: id, Service: "pool", Address: "127.0.0.1:1", Version: version, Slots: 4, State: setup.Ready}
+		tables.putEndpoint(Record{Key: id, Offset: int64(i + 1)}, endpoints[id], now)
+	}
+	place := func(random float64) string {
+		e, _, placed, ok := tables.place(placeRequest{service: "pool", target: time.Second}, now, func() float64 { return random })
+		if !ok {
+			return ""
+		}
+		tables.release(placed)
+		return e.ID
+	}
+	const toOld, toNew = 0.99, 0.0
+	tables.recordRejection(endpoints["e1"], now.Add(time.Second), now)
+	if got := place(toOld); got != "e2" {
+		t.Errorf("placed at %q, want the endpoint of the old version that takes requests", got)
+	}
+	for range 3 {
+		tables.recordHealth(endpoints["e1"], health.Unreachable, 0, 0, now)
+	}
+	tables.recordRejection(endpoints["e2"], now.Add(2*time.Second), now)
+	if got := place(toOld); got != "" {
+		t.Errorf("placed at %q while the endpoints of the old version reject requests, want nowhere", got)
+	}
+	if got := place(toNew); got != "e3" {
+		t.Errorf("placed at %q, want the new version", got)
+	}
+	if opensAt := tables.opensAt("pool", now); !opensAt.IsZero() {
+		t.Errorf("the service takes requests at %v although the new version takes them now", opensAt)
+	}
+	tables.recordRejection(endpoints["e3"], now.Add(3*time.Second), now)
+	if opensAt := tables.opensAt("pool", now); !opensAt.Equal(now.Add(time.Second)) {
+		t.Errorf("the service takes requests at %v, want the first endpoint's time", opensAt)
+	}
+}
