BUDGET: a rejection does not hash all endpoints again

Each first rejection marked what is derived from the roster as out of date. The next placement then hashed all endpoints, which depends on no rejection. TestRejectionsAreCheap failed before.

--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -605,7 +605,10 @@
 func (t *tables) recordRejection(endpoint setup.Endpoint, until, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return len(t.updateRoster(roster.Rejected{Endpoint: endpoint, Until: until, Now: now})) > 0
+	// What is derived from the roster doesn't depend on rejections, of which there may be many.
+	var changes []roster.Change
+	t.roster, changes = t.roster.Update(roster.Rejected{Endpoint: endpoint, Until: until, Now: now})
+	return len(changes) > 0
 }
 
 // takeAllowance takes a request's cost from its client account's allowance, if that suffices.
--- a/entryd/relay/tables_test.go
+++ b/entryd/relay/tables_test.go
@@ -143,3 +143,19 @@
 		t.Errorf("the service takes requests at %v, want the first endpoint's time", opensAt)
 	}
 }
+
+// TestRejectionsAreCheap guards against rejections that make a daemon hash all endpoints again: with hundreds of
+// endpoints that reject requests, this would take most of its time.
+func TestRejectionsAreCheap(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tables := newTables(Settings{Name: "entry-1"}, "first")
+	endpoint := setup.Endpoint{ID: "e1", Service: "pool", Address: "127.0.0.1:1", Slots: 4, State: setup.Ready}
+	tables.putEndpoint(Record{Key: "e1", Offset: 1}, endpoint, now)
+	tables.refresh(now)
+	if !tables.recordRejection(endpoint, now.Add(time.Second), now) || !tables.rejects("e1", now) {
+		t.Error("the rejection has no effect")
+	}
+	if tables.stale {
+		t.Error("the rejection makes the derived tables out of date")
+	}
+}
