--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -13,6 +13,7 @@
 
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
+	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -34,6 +35,8 @@
 		// began reports whether the endpoint has begun its response: a stream with its first event, another
 		// response with its head.
 		began bool
+		// reply is what the head of the response says; its zero value until the head was read.
+		reply Reply
 		// writeResult receives the result of a write that runs while the response is read.
 		writeResult chan error
 	}
@@ -95,6 +98,12 @@
 	if err != nil {
 		return a.dialFailed(err)
 	}
+	if now := x.daemon.clock.now(); !reused && x.daemon.tables.rejects(endpoint.ID, now) {
+		// It has rejected another request while this one was being connected.
+		_ = c.Close()
+		x.log("Not sent.", "Endpoint", endpoint.ID, "Reason", roster.Rejecting)
+		return notSent
+	}
 	a.endpointConn, a.reused = c, reused
 	a.sentAt = x.daemon.clock.now()
 	_ = c.SetDeadline(x.deadline)
@@ -207,6 +216,9 @@
 		// With the parts of the prompt, a reader can tell whether one of them is common to the crashes.
 		fields = append(fields, "Began", a.began, "Parts", partNames(x.call.Parts))
 	}
+	if a.reply.Leaving {
+		fields = append(fields, "SaidLeaving", true)
+	}
 	x.log("Attempt ended.", fields...)
 	return result
 }
@@ -234,6 +246,13 @@
 	if err != nil {
 		return a.classifyError(err), false, nil
 	}
+	a.reply = reply
+	if reply.Leaving {
+		a.recordLeaving()
+	}
+	if !reply.RejectsUntil.IsZero() {
+		a.recordRejection(reply.RejectsUntil)
+	}
 	if reply.Misdirected {
 		a.x.daemon.tables.excludeMisdirected(a.endpoint)
 	}
@@ -257,9 +276,29 @@
 	return result, err == nil && a.reusable(response), response.Header
 }
 
-// reusable reports whether nothing of the request or its response is left on the connection.
+// recordLeaving takes the endpoint out of use from the next request on: its registration may say so late, or
+// never. Others learn it from the registration or from the endpoint's responses to them.
+func (a *attempt) recordLeaving() {
+	d := a.x.daemon
+	if changes := d.tables.recordLeaving(a.endpoint); len(changes) > 0 {
+		d.meters.count("Endpoints.Announced")
+		d.logChanges(changes)
+	}
+}
+
+// recordRejection keeps requests from the endpoint until a time.
+func (a *attempt) recordRejection(until time.Time) {
+	d := a.x.daemon
+	if d.tables.recordRejection(a.endpoint, until, d.clock.now()) {
+		d.meters.count("Endpoints.Rejecting")
+		a.x.log("Endpoint rejects requests.", "Endpoint", a.endpoint.ID, "Service", a.endpoint.Service, "Until", until)
+	}
+}
+
+// reusable reports whether another request may be sent on the connection: nothing of this request or its response
+// is left on it.
 func (a *attempt) reusable(response *http.Response) bool {
-	if response.Close || response.StatusCode == http.StatusRequestTimeout || a.endpointConn.reader.Buffered() > 0 {
+	if response.Close || a.reply.Leaving || response.StatusCode == http.StatusRequestTimeout || a.endpointConn.reader.Buffered() > 0 {
 		return false
 	}
 	if !framed(response) {
@@ -329,7 +368,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		reply := a.x.daemon.codec.ReadReply(response.StatusCode, response.Header)
+		reply := a.x.daemon.codec.ReadReply(response.StatusCode, response.Header, a.x.daemon.clock.now())
 		// On a connection that was used before, a response without an identifier may be a late copy of
 		// an earlier one.
 		if reply.CallID == a.x.call.ID || reply.CallID == "" && !a.reused {
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -172,7 +172,7 @@
 		if x.reserveSilent(notSent) {
 			return x.takeReserved()
 		}
-		x.fail(notSent, "NoEndpoint")
+		x.failWithoutEndpoint()
 		return next, false
 	}
 	if verdict := x.checkAdmission(next.picked, x.responseStarted); !verdict.Admitted {
@@ -236,6 +236,24 @@
 	}
 }
 
+// failWithoutEndpoint ends a request that no endpoint can get. If all endpoints of the service reject requests,
+// the caller is told when the first one takes them again.
+func (x *exchange) failWithoutEndpoint() {
+	now := x.daemon.clock.now()
+	opensAt := x.daemon.tables.opensAt(x.service, now)
+	if opensAt.IsZero() || x.responseStarted || x.failedResponse != nil || x.mayHaveRun {
+		x.fail(notSent, "NoEndpoint")
+		return
+	}
+	// The route's timeout ends this request, not the caller's wait.
+	waitsUntil := x.call.Deadline
+	if waitsUntil.IsZero() {
+		waitsUntil = x.deadline
+	}
+	x.refuse(http.StatusServiceUnavailable, "EndpointsReject",
+		admit.RetryAt(opensAt, noEndpointRetry, waitsUntil.Sub(now), now), "OpensAt", opensAt)
+}
+
 // checkAdmission decides whether the request may go to the selected endpoint, by its predicted wait.
 func (x *exchange) checkAdmission(picked choice.Picked, responseStarted bool) admit.Decision {
 	now := x.daemon.clock.now()
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -274,7 +274,8 @@
 	t.endpointsHash, t.endpointHashes = 0, rosterHashes{}
 	var members []health.Member
 	for _, e := range t.endpoints {
-		hash := xxhash.Sum64String(fmt.Sprint(e.ID, e.Address, e.State, e.StartedAtMS))
+		// What an endpoint has said to this daemon alone is no difference from the records of others.
+		hash := xxhash.Sum64String(fmt.Sprint(e.ID, e.Address, t.roster.RegisteredState(e.ID), e.StartedAtMS))
 		t.endpointsHash ^= hash
 		t.endpointHashes[bucketOf(e.ID)] ^= hash
 		members = append(members, health.Member{Instance: e.ID, DataCentre: e.DataCentre, Routes: []string{e.Service}, Incarnation: e.StartedAtMS})
@@ -355,17 +356,23 @@
 	})
 }
 
-// candidates returns the endpoints of the service that may serve the call, and the leaving ones,
-// which may still have cached a part of its prompt. Endpoints that were tried are excluded, and
-// unhealthy ones unless no other is left.
-func (t *tables) candidates(r placeRequest, now time.Time) (serving, leaving []choice.Candidate) {
+// candidates are the endpoints of a service that a call was not sent to yet.
+type candidates struct {
+	healthy, unhealthy []choice.Candidate
+	// leaving may still have cached a part of the call's prompt.
+	leaving []choice.Candidate
+	// rejecting holds those of the healthy and the unhealthy ones that want no requests of this daemon at present.
+	rejecting map[string]bool
+}
+
+// candidates returns the endpoints of the service that may get the call.
+func (t *tables) candidates(r placeRequest, now time.Time) candidates {
 	memory := 0
 	if s, ok := t.config.Services[r.service]; ok && s.Engine != nil {
 		memory = s.Engine.KVCacheTokens
 	}
 	loads, parts := t.peerLoads(now), shortParts(r.call.Parts)
-	var unhealthy []choice.Candidate
-	serving = make([]choice.Candidate, 0, len(t.endpoints))
+	found := candidates{healthy: make([]choice.Candidate, 0, len(t.endpoints))}
 	for _, e := range t.endpoints {
 		if e.Service != r.service || r.excludes(e.ID) {
 			continue
@@ -379,19 +386,71 @@
 			Load: t.load(e.ID, loads), Cached: t.prefixTable.tokens(shortID(e.ID), parts, now),
 			Local: e.DataCentre == t.centre, Penalty: float64(status.Penalty.Milliseconds()),
 		}
-		switch {
-		case e.State != setup.Ready:
-			leaving = append(leaving, c)
-		case status.Blocked():
-			unhealthy = append(unhealthy, c)
-		default:
-			serving = append(serving, c)
+		if e.State != setup.Ready {
+			found.leaving = append(found.leaving, c)
+			continue
+		}
+		if now.Before(t.roster.RejectsUntil(e.ID)) {
+			if found.rejecting == nil {
+				found.rejecting = map[string]bool{}
+			}
+			found.rejecting[e.ID] = true
+		}
+		if status.Blocked() {
+			found.unhealthy = append(found.unhealthy, c)
+		} else {
+			found.healthy = append(found.healthy, c)
 		}
 	}
-	if len(serving) == 0 {
-		return unhealthy, leaving
+	return found
+}
+
+// open returns the candidates that don't reject requests.
+func (c candidates) open(list []choice.Candidate) []choice.Candidate {
+	if len(c.rejecting) == 0 {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(o choice.Candidate) bool { return c.rejecting[o.ID] })
+}
+
+// usable returns the candidates that may get the call: no rejecting ones, and unhealthy ones only if no other
+// is left. In a roll-out the rejecting ones count in the choice of the version. Otherwise a new version that has
+// not been tested would get all requests while those of the old version reject some.
+func (t *tables) usable(service string, c candidates, random float64) []choice.Candidate {
+	list := c.healthy
+	if len(c.open(list)) == 0 {
+		list = slices.Concat(c.healthy, c.unhealthy)
+	}
+	return c.open(t.filterByVersion(service, list, random))
+}
+
+// opensAt returns when the first endpoint of the service takes requests again if all reject them; zero if one
+// takes them or none is known.
+func (t *tables) opensAt(service string, now time.Time) time.Time {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.refresh(now)
+	var first time.Time
+	for _, e := range t.endpoints {
+		if e.Service != service || e.State != setup.Ready {
+			continue
+		}
+		until := t.roster.RejectsUntil(e.ID)
+		if !now.Before(until) {
+			return time.Time{}
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
 	}
-	return serving, leaving
+	return first
+}
+
+// rejects reports whether the endpoint wants no requests of this daemon at present.
+func (t *tables) rejects(id string, now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return now.Before(t.roster.RejectsUntil(id))
 }
 
 // endpoint returns a known endpoint.
@@ -432,9 +491,9 @@
 	request := choiceRequest(t.config, r.service, r.call)
 	request.Pace = t.pace(r.service).Estimate()
 	request.Target, request.Admits = float64(r.target.Milliseconds()), r.fits
-	candidates, leaving := t.candidates(r, now)
-	candidates, request.Sources = t.filterByVersion(r.service, candidates, random()), leaving
-	picked, ok := choice.Pick(request, candidates, random)
+	found := t.candidates(r, now)
+	request.Sources = found.leaving
+	picked, ok := choice.Pick(request, t.usable(r.service, found, random()), random)
 	if !ok {
 		return setup.Endpoint{}, picked, nil, false
 	}
@@ -544,6 +603,23 @@
 	t.misdirected[endpoint.ID] = endpoint.StartedAtMS
 }
 
+// recordLeaving records that an endpoint has said in a response that it is leaving.
+func (t *tables) recordLeaving(endpoint setup.Endpoint) []roster.Change {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.updateRoster(roster.LeavingAnnounced{Endpoint: endpoint})
+}
+
+// recordRejection records until when an endpoint wants no requests, and reports whether it took them before.
+func (t *tables) recordRejection(endpoint setup.Endpoint, until, now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	// What is derived from the roster doesn't depend on rejections, of which there may be many.
+	var changes []roster.Change
+	t.roster, changes = t.roster.Update(roster.Rejected{Endpoint: endpoint, Until: until, Now: now})
+	return len(changes) > 0
+}
+
 // takeAllowance takes a request's cost from its client account's allowance, if that suffices.
 func (t *tables) takeAllowance(account string, cost float64, now time.Time) quota.Decision {
 	t.mutex.Lock()
--- a/entryd/relay/tables_test.go
+++ b/entryd/relay/tables_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"lentilstage.dev/decide/health"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -70,3 +72,90 @@
 		}
 	}
 }
+
+// TestAnnouncedLeavingIsNoDivergence guards against a daemon that fetches the endpoints of its hub again and again
+// because an endpoint has said to this daemon alone that it is leaving.
+func TestAnnouncedLeavingIsNoDivergence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	endpoint := setup.Endpoint{ID: "e1", Service: "pool", Address: "127.0.0.1:1", Slots: 4, State: setup.Ready}
+	var told, other *tables
+	for _, known := range []**tables{&told, &other} {
+		*known = newTables(Settings{Name: "entry-1"}, "first")
+		(*known).putEndpoint(Record{Key: "e1", Offset: 1}, endpoint, now)
+	}
+	if changes := told.recordLeaving(endpoint); len(changes) != 1 {
+		t.Fatalf("changes %v, want one", changes)
+	}
+	if told.rosterHash(now) != other.rosterHash(now) || told.hashes(now) != other.hashes(now) {
+		t.Error("the hashes of the endpoints differ")
+	}
+	if e, ok := told.endpoint("e1"); !ok || e.State != setup.Leaving {
+		t.Errorf("endpoint %+v, want one that is leaving", e)
+	}
+}
+
+// TestRejectingOldVersionKeepsItsShare guards against a roll-out whose new version gets all requests because the
+// endpoints of the old version reject some for a while, and against unhealthy endpoints that are used although they
+// reject requests.
+func TestRejectingOldVersionKeepsItsShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tables := newTables(Settings{Name: "entry-1"}, "first")
+	config, err := setup.New(1, nil, []setup.Service{{Name: "pool"}}, nil, setup.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tables.applyConfig(config, Record{Key: "config"}, now)
+	tables.startRollout(Rollout{Service: "pool", Target: "v2", TimeLimit: time.Minute}, Record{Key: "rollout", Offset: 2}, now)
+	endpoints := map[string]setup.Endpoint{}
+	for i, version := range []string{"v1", "v1", "v2"} {
+		id := fmt.Sprint("e", i+1)
+		endpoints[id] = setup.Endpoint{ID: id, Service: "pool", Address: "127.0.0.1:1", Version: version, Slots: 4, State: setup.Ready}
+		tables.putEndpoint(Record{Key: id, Offset: int64(i + 1)}, endpoints[id], now)
+	}
+	place := func(random float64) string {
+		e, _, placed, ok := tables.place(placeRequest{service: "pool", target: time.Second}, now, func() float64 { return random })
+		if !ok {
+			return ""
+		}
+		tables.release(placed)
+		return e.ID
+	}
+	const toOld, toNew = 0.99, 0.0
+	tables.recordRejection(endpoints["e1"], now.Add(time.Second), now)
+	if got := place(toOld); got != "e2" {
+		t.Errorf("placed at %q, want the endpoint of the old version that takes requests", got)
+	}
+	for range 3 {
+		tables.recordHealth(endpoints["e1"], health.Unreachable, 0, 0, now)
+	}
+	tables.recordRejection(endpoints["e2"], now.Add(2*time.Second), now)
+	if got := place(toOld); got != "" {
+		t.Errorf("placed at %q while the endpoints of the old version reject requests, want nowhere", got)
+	}
+	if got := place(toNew); got != "e3" {
+		t.Errorf("placed at %q, want the new version", got)
+	}
+	if opensAt := tables.opensAt("pool", now); !opensAt.IsZero() {
+		t.Errorf("the service takes requests at %v although the new version takes them now", opensAt)
+	}
+	tables.recordRejection(endpoints["e3"], now.Add(3*time.Second), now)
+	if opensAt := tables.opensAt("pool", now); !opensAt.Equal(now.Add(time.Second)) {
+		t.Errorf("the service takes requests at %v, want the first endpoint's time", opensAt)
+	}
+}
+
+// TestRejectionsAreCheap guards against rejections that make a daemon hash all endpoints again: with hundreds of
+// endpoints that reject requests, this would take most of its time.
+func TestRejectionsAreCheap(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tables := newTables(Settings{Name: "entry-1"}, "first")
+	endpoint := setup.Endpoint{ID: "e1", Service: "pool", Address: "127.0.0.1:1", Slots: 4, State: setup.Ready}
+	tables.putEndpoint(Record{Key: "e1", Offset: 1}, endpoint, now)
+	tables.refresh(now)
+	if !tables.recordRejection(endpoint, now.Add(time.Second), now) || !tables.rejects("e1", now) {
+		t.Error("the rejection has no effect")
+	}
+	if tables.stale {
+		t.Error("the rejection makes the derived tables out of date")
+	}
+}
