--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -219,7 +219,7 @@
 		a.x.log("Response without signature.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode)
 		return broken, false, nil
 	}
-	if a.x.responseStarted && response.StatusCode != http.StatusOK {
+	if a.x.responseStarted && !a.x.continues(response) {
 		// The caller has a part of a stream, which only events can continue.
 		a.x.log("Response can't continue the stream.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode)
 		return failed, false, nil
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -24,8 +25,12 @@
 	maxLeadingComments = 64 << 10
 )
 
-// errLeadingComments reports too many comments before the first event.
-var errLeadingComments = eris.New("comments without an event")
+var (
+	// errLeadingComments reports too many comments before the first event.
+	errLeadingComments = eris.New("comments without an event")
+	// errNotFollowing reports a part of a response that does not follow what the caller has.
+	errNotFollowing = eris.New("response does not continue the stream")
+)
 
 // forwardStream forwards the events of a response as they arrive. The header is sent with the first
 // event, so that another attempt may follow one without any event.
@@ -33,7 +38,7 @@
 	x := a.x
 	events := wire.NewEventReader(response.Body)
 	flusher := http.NewResponseController(x.writer)
-	first := true
+	first, resumed := true, x.responseStarted
 	var firstAt time.Time
 	count := 0
 	// comments are those before the first event. They don't start the response, so that another attempt may
@@ -67,6 +72,9 @@
 			}
 			return a.classifyError(err), err
 		}
+		if !x.follows(event, resumed) {
+			return failed, errNotFollowing
+		}
 		// Comments are forwarded, but a stream that sends nothing else has stalled.
 		content := wire.HasContent(event)
 		if !content && !x.responseStarted {
@@ -95,7 +103,7 @@
 		if _, err := x.writer.Write(event); err != nil {
 			return callerGone, err
 		}
-		if id := strings.TrimSpace(wire.RawEventID(event)); id != "" {
+		if id := eventID(event); id != "" {
 			x.lastEvent = id
 		}
 		if !events.HasBuffered() {
@@ -109,6 +117,30 @@
 	}
 }
 
+// follows reports whether an event may come after those that the caller has. An endpoint may ignore the
+// last event and begin at the first one, or send an error with the status of a stream.
+func (x *exchange) follows(event []byte, resumed bool) bool {
+	if !x.mayRepeat() || wire.IsComment(event) {
+		return true
+	}
+	last, lastErr := strconv.ParseInt(x.lastEvent, 10, 64)
+	next, nextErr := strconv.ParseInt(eventID(event), 10, 64)
+	if lastErr == nil && nextErr == nil {
+		return next > last
+	}
+	return !resumed
+}
+
+// continues reports whether the response may go on with a stream that has begun, by its head.
+func (x *exchange) continues(response *http.Response) bool {
+	begun, _, _ := strings.Cut(x.writer.Header().Get("Content-Type"), ";")
+	next, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return response.StatusCode == http.StatusOK && strings.EqualFold(begun, next)
+}
+
+// eventID returns the identifier of an event, or an empty string.
+func eventID(event []byte) string { return strings.TrimSpace(wire.RawEventID(event)) }
+
 // engine returns what is known of the engines that run the request; nil for a plain service.
 func (x *exchange) engine() *setup.Engine { return x.config.Services[x.service].Engine }
 
--- a/wire/wire/sse.go
+++ b/wire/wire/sse.go
@@ -113,6 +113,16 @@
 	return false
 }
 
+// IsComment reports whether the raw bytes of an event are comments only.
+func IsComment(block []byte) bool {
+	for name := range fields(block) {
+		if len(name) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // RawEventID returns the identifier in the raw bytes of an event, or an empty string.
 func RawEventID(block []byte) string {
 	var id []byte
