relay: a head without length or events never ends a broken stream (ORDER)

A stream broke off after its second event, the next endpoint sent the head of a response without length and closed its connection, and the caller's stream ended as complete. The rule that such a response is broken held only for callers that had no event yet.

It now holds for all streams, since an endpoint that has no more events can say so with a last chunk.

TestResponses: "a broken stream does not end with its connection before another event" failed before.

--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -47,7 +47,7 @@
 	for {
 		event, err := nextEvent(events)
 		if errors.Is(err, io.EOF) {
-			if count == 0 && x.lastEvent == "" && !framed(response) {
+			if count == 0 && !framed(response) {
 				// An endpoint that crashes as it begins its response leaves a head and a closed connection.
 				return a.classifyError(io.ErrUnexpectedEOF), io.ErrUnexpectedEOF
 			}
