--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -40,6 +40,9 @@
 		usageCounted    bool
 		// lastEvent is the last event that was sent to the caller.
 		lastEvent string
+		// positionUnknown reports whether an event without an identifier was sent to the caller, so that no
+		// other endpoint can go on after it.
+		positionUnknown bool
 		// suspect identifies the request if it is sent again after it crashed endpoints.
 		suspect suspect.Key
 		// parts identifies the parts of the prompt that other requests may have too.
@@ -96,8 +99,8 @@
 		d.tables.release(placed)
 		d.meters.count("Attempts." + string(result))
 		x.tried[endpoint.ID] = true
-		if x.responseStarted && x.route.Kind != setup.Stream && result != delivered && result != callerGone {
-			// Only a stream can go on at another endpoint.
+		if x.responseStarted && (x.route.Kind != setup.Stream || x.positionUnknown) && result != delivered && result != callerGone {
+			// Only a stream can go on at another endpoint, after an event that has an identifier.
 			x.fail(result, string(result))
 			return
 		}
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -105,6 +105,8 @@
 		}
 		if id := eventID(event); id != "" {
 			x.lastEvent = id
+		} else if content {
+			x.positionUnknown = true
 		}
 		if !events.HasBuffered() {
 			if err := flusher.Flush(); err != nil {
