relay: a connection that gave 421 is not used again (REFUSED)

Callers got 503 for requests that a replica ran, when two registrations had one address and the endpoint wrote its 421 a second time. The request was refused for the first registration and sent again for the second one on the same connection. There the copy, which has the identifier of the request, was taken for the answer. It also took the live endpoint out of use.

Only the same request on the same connection can meet a copy with its own identifier: a request goes to an endpoint once, so two registrations must share the address, and a 421 is the sign of that. Its connection is closed.

TestRepeatedRefusalOfSameRequest failed before: 20 of 20 requests got 503, the first of them while the replica ran it.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -213,7 +213,9 @@
 	if reply.NotRun {
 		a.x.log("Not run.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode, "Misdirected", reply.Misdirected)
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
-		return notRun, err == nil && a.reusable(response), response.Header
+		// The request may be sent to the same address again, for the endpoint that now has it. A second
+		// copy of this response would then seem to be the answer.
+		return notRun, err == nil && !reply.Misdirected && a.reusable(response), response.Header
 	}
 	if !reply.Signed {
 		a.x.log("Response without signature.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode)
