relay: a request without an ID gets its own connection (REFUSED)

A caller that sends no ID got 503 for a request that the endpoint ran, when the endpoint wrote an earlier refusal without an ID on the kept connection: both have an empty ID, which counted as a match.

Nothing tells the answer to such a request from a copy of an earlier one, so the connection is a new one.

TestRepeatedRefusals: "a copy for a request without an ID" failed before. The other cases, with an ID or none and cut in six places, passed.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -88,11 +88,7 @@
 // sends of the request.
 func (x *exchange) attempt(ctx context.Context, endpoint setup.Endpoint, picked choice.Picked, placed *placement, sends int) outcome {
 	a := &attempt{x: x, ctx: ctx, endpoint: endpoint, picked: picked, placed: placed}
-	maxIdleTime := defaultIdleTime
-	if !x.mayRepeat() {
-		maxIdleTime = maxIdleUnrepeatable
-	}
-	c, reused, err := x.daemon.pool.get(ctx, endpoint.Address, maxIdleTime)
+	c, reused, err := x.connect(ctx, endpoint.Address)
 	if err != nil {
 		return a.dialFailed(err)
 	}
@@ -117,6 +113,19 @@
 	return a.recordOutcome(result)
 }
 
+// connect returns a connection to an endpoint and reports whether it has carried other requests.
+func (x *exchange) connect(ctx context.Context, address string) (*endpointConn, bool, error) {
+	if x.call.ID == "" {
+		// Nothing would tell the response from a copy of an earlier one.
+		c, err := dial(ctx, address)
+		return c, false, err
+	}
+	if x.mayRepeat() {
+		return x.daemon.pool.get(ctx, address, defaultIdleTime)
+	}
+	return x.daemon.pool.get(ctx, address, maxIdleUnrepeatable)
+}
+
 // stallTimeout returns how long the endpoint may send nothing before the request fails over to
 // another one.
 func (a *attempt) stallTimeout() time.Duration {
--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -71,12 +71,18 @@
 		}
 		_ = c.Close()
 	}
+	c, err := dial(ctx, address)
+	return c, false, err
+}
+
+// dial opens a connection. An error means that nothing was sent.
+func dial(ctx context.Context, address string) (*endpointConn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
-	return newEndpointConn(conn, address), false, nil
+	return newEndpointConn(conn, address), nil
 }
 
 func (p *pool) pop(address string) *endpointConn {
