relay: a refusal needs the endpoint's word that nothing ran (REFUSED)

Callers got 503, 429 or 408 for requests that the endpoint had run, when it answered with that status, a signature and no statement that nothing ran. The relay forwarded the status, which promises more to the caller than the endpoint said. A 421 with a signature was taken for a refusal.

Such a response is a failed attempt, and the caller gets 502 if no other attempt follows. A refusal that has a signature contradicts itself and counts as broken.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -76,6 +76,11 @@
 		"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	}
 
+	// notRunStatuses tell a caller that the request has not run and won't.
+	notRunStatuses = []int{
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	}
+
 	// healthOutcomes maps outcomes of attempts to outcomes for the endpoint's health. Outcomes that
 	// say nothing about its health are missing.
 	healthOutcomes = map[outcome]health.OutcomeKind{
@@ -216,6 +221,10 @@
 	if err != nil {
 		return a.classifyError(err), false, nil
 	}
+	if reply.NotRun && reply.Signed {
+		// Only requests that run get a signature.
+		return a.classifyError(errContradiction), false, nil
+	}
 	if reply.Misdirected {
 		a.x.daemon.tables.excludeMisdirected(a.endpoint)
 	}
@@ -230,6 +239,11 @@
 		a.x.log("Response without signature.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode)
 		return broken, false, nil
 	}
+	if slices.Contains(notRunStatuses, response.StatusCode) {
+		// The status says to a caller what the endpoint's header does not say.
+		a.x.log("Refusal of a request that may have run.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode)
+		return failed, false, nil
+	}
 	if a.x.responseStarted && !a.x.continues(response) {
 		// The caller has a part of a stream, which only events can continue.
 		a.x.log("Response can't continue the stream.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode)
--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -51,6 +51,8 @@
 var (
 	// errConnUnusable means that an idle connection was closed or has bytes that belong to no request.
 	errConnUnusable = errors.New("idle connection is not usable")
+	// errContradiction means that a response says that the request has run and that it has not.
+	errContradiction = errors.New("response contradicts itself")
 	// errTooManyBytes means that an endpoint has sent more than a response may have.
 	errTooManyBytes = errors.New("response exceeds its limit")
 )
