relay: half a head before a response is noticed (REFUSED, MIXED)

Callers got 503 for requests that a replica ran, and a replica's signature with a status that it had not given, when the replica sent the begin of an earlier refusal and then the response to this request: cut within the status line or a value, the two heads parse as one, with the status of the first and the ID and signature of the second.

On a connection that carried other requests, a status line or value that holds the begin of a status line makes the response broken. A cut within a name or at the end of a line was an error already.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -332,6 +332,9 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		if a.reused && joined(response) {
+			return nil, Reply{}, errJoined
+		}
 		reply := a.x.daemon.codec.ReadReply(response.StatusCode, response.Header)
 		// On a connection that was used before, a response without an identifier may be a late copy of
 		// an earlier one.
@@ -349,6 +352,23 @@
 	return nil, Reply{}, errConnUnusable
 }
 
+// joined reports whether the head of a response has the begin of another one within its status line or a
+// value. An endpoint may send a part of an earlier response before the next one.
+func joined(response *http.Response) bool {
+	const version = "HTTP/1."
+	if strings.Contains(response.Status, version) {
+		return true
+	}
+	for _, values := range response.Header {
+		for _, value := range values {
+			if strings.Contains(value, version) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // classifyError returns the outcome for an error on the connection.
 func (a *attempt) classifyError(err error) outcome {
 	if a.stalled.Load() {
--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -53,6 +53,8 @@
 	errConnUnusable = errors.New("idle connection is not usable")
 	// errContradiction means that a response says that the request has run and that it has not.
 	errContradiction = errors.New("response contradicts itself")
+	// errJoined means that a response follows a part of an earlier one.
+	errJoined = errors.New("response follows a part of another one")
 	// errTooManyBytes means that an endpoint has sent more than a response may have.
 	errTooManyBytes = errors.New("response exceeds its limit")
 )
