--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -388,6 +388,10 @@
 	if err != nil {
 		return a.classifyError(err), err
 	}
+	if len(body) == 0 && !framed(response) && x.call.Method != http.MethodHead {
+		// An endpoint that crashes as it begins its response leaves a head and a closed connection.
+		return a.classifyError(io.ErrUnexpectedEOF), io.ErrUnexpectedEOF
+	}
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if buffered.status >= http.StatusInternalServerError {
 		x.failedResponse = buffered
