--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -328,6 +328,10 @@
 		if err != nil {
 			return nil, Reply{}, err
 		}
+		if !response.ProtoAtLeast(1, 1) {
+			// net/http doesn't decode chunks in a response of version 1.0.
+			return nil, Reply{}, errVersion
+		}
 		a.endpointConn.limitReads(unlimited)
 		if response.StatusCode < http.StatusOK {
 			continue
--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -55,6 +55,8 @@
 	errContradiction = errors.New("response contradicts itself")
 	// errJoined means that a response follows a part of an earlier one.
 	errJoined = errors.New("response follows a part of another one")
+	// errVersion means that a response has an older version of HTTP than 1.1.
+	errVersion = errors.New("response has an old version of HTTP")
 	// errTooManyBytes means that an endpoint has sent more than a response may have.
 	errTooManyBytes = errors.New("response exceeds its limit")
 )
