--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -219,7 +220,7 @@
 	case x.responseStarted:
 		x.log("Response aborted.", "Reason", reason, "LastEvent", x.lastEvent)
 		x.daemon.meters.count("Answers.BrokenOff")
-		panic(http.ErrAbortHandler)
+		x.abort()
 	case x.failedResponse != nil:
 		x.log("Failure forwarded.", "Status", x.failedResponse.status, "Reason", reason)
 		x.failedResponse.write(x.writer)
@@ -232,6 +233,20 @@
 	}
 }
 
+// abort breaks off a response that has begun, so that the caller notices.
+func (x *exchange) abort() {
+	if !x.request.ProtoAtLeast(1, 1) {
+		// Without chunks, the end of the connection is that of the response. Only a reset is an error.
+		if conn, _, err := http.NewResponseController(x.writer).Hijack(); err == nil {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // recordHealth records the outcome of an attempt for the endpoint's health and logs a change of its
 // state.
 func (x *exchange) recordHealth(endpoint setup.Endpoint, kind health.OutcomeKind, picked choice.Picked, sentAt time.Time) {
