--- a/wire/client/stream.go
+++ b/wire/client/stream.go
@@ -125,7 +125,11 @@
 		return nil, asIdleTimeout(err)
 	}
 	if status := stream.response.StatusCode(); status != fasthttp.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(stream.response.BodyStream(), 4096))
+		var text []byte
+		// A status such as 204 has no body.
+		if body := stream.response.BodyStream(); body != nil {
+			text, _ = io.ReadAll(io.LimitReader(body, 4096))
+		}
 		stream.Close()
 		return nil, &StatusError{Status: status, Body: text}
 	}
