--- a/entryd/entry/claims.go
+++ b/entryd/entry/claims.go
@@ -17,6 +17,7 @@
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/domain/event"
 	"lentilstage.dev/domain/ident"
+	"lentilstage.dev/wire/client"
 	"lentilstage.dev/wire/wire"
 )
 
@@ -133,9 +134,6 @@
 	maxAnswerBytes = 8 << 20
 )
 
-// errSecondDial prevents the HTTP client from opening a second connection.
-var errSecondDial = eris.New("a call is sent over one connection only")
-
 // ClaimStream returns the name of the claim stream for a key. The daemon that should run a call is
 // the first live one in the rendezvous order of this name.
 func ClaimStream(account, key string) string {
@@ -701,26 +699,11 @@
 	if !c.Now().Before(request.Deadline) {
 		return claim.NotSent{Now: c.Now()}
 	}
-	dialed := false
-	client := fasthttp.HostClient{
-		Addr: address,
-		Dial: func(string) (net.Conn, error) {
-			if dialed {
-				return nil, errSecondDial
-			}
-			dialed = true
-			return connection, nil
-		},
-		MaxConns:                  1,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxResponseBodySize:       maxAnswerBytes,
-		DisablePathNormalizing:    true,
-	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + address + request.Path)
+	req.URI().DisablePathNormalizing = true
 	req.Header.SetMethod(request.Method)
 	req.Header.SetContentType("application/json")
 	if request.Key != "" {
@@ -730,10 +713,9 @@
 	if fencing >= 0 {
 		req.Header.Set(wire.HeaderFencingNumber, strconv.FormatInt(fencing, 10))
 	}
-	req.SetConnectionClose()
 	req.SetBody(request.Body)
 	answerDeadline := time.Now().Add(request.Deadline.Sub(c.Now()) + lateAnswerPeriod)
-	if err := client.DoDeadline(req, resp, answerDeadline); err != nil {
+	if err := client.Exchange(connection, answerDeadline, req, resp, maxAnswerBytes); err != nil {
 		return claim.AnswerLost{Now: c.Now()}
 	}
 	return claim.ServiceAnswered{Now: c.Now(), Status: resp.StatusCode(), Body: slices.Clone(resp.Body())}
--- a/entryd/entry/claims_test.go
+++ b/entryd/entry/claims_test.go
@@ -288,6 +288,31 @@
 	}
 }
 
+// TestHeadAloneIsNoAnswer guards against a service that stops after the head of its answer: the caller would
+// get an empty answer as a whole one, and every later call with the key too.
+func TestHeadAloneIsNoAnswer(t *testing.T) {
+	checkLeaks(t)
+	var runs atomic.Int32
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n")
+		_ = conn.Close()
+	}))
+	t.Cleanup(service.Close)
+	d := newTestDaemons(t, 1, strings.TrimPrefix(service.URL, "http://"))
+	if reply := d.claims[0].Do(t.Context(), order(ident.NewKey(), 3*time.Second)); reply.Code == 0 || !reply.Unknown {
+		t.Errorf("reply is %+v, want an unknown outcome", reply)
+	}
+	if n := runs.Load(); n != 1 {
+		t.Errorf("the service ran the call %d times, want once", n)
+	}
+}
+
 // TestLogDownSendsNothing guards against a call that is sent without a claim, and against a "not
 // run" reply that becomes false when the same key is used again.
 func TestLogDownSendsNothing(t *testing.T) {
