--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -77,6 +77,11 @@
 		"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	}
 
+	// notRunStatuses tell a caller that the request has not run and won't.
+	notRunStatuses = []int{
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	}
+
 	// healthOutcomes maps outcomes of attempts to outcomes for the endpoint's health. Outcomes that
 	// say nothing about its health are missing.
 	healthOutcomes = map[outcome]health.OutcomeKind{
@@ -90,11 +95,7 @@
 func (x *exchange) attempt(ctx context.Context, selected selection, sends int) outcome {
 	endpoint, picked := selected.endpoint, selected.picked
 	a := &attempt{x: x, ctx: ctx, selection: selected}
-	maxIdleTime := defaultIdleTime
-	if !x.mayRepeat() {
-		maxIdleTime = maxIdleUnrepeatable
-	}
-	c, reused, err := x.daemon.pool.get(ctx, endpoint.Address, maxIdleTime)
+	c, reused, err := x.connect(ctx, endpoint.Address)
 	if err != nil {
 		return a.dialFailed(err)
 	}
@@ -131,6 +132,19 @@
 	return a.recordOutcome(result)
 }
 
+// connect returns a connection to an endpoint and reports whether it has carried other requests.
+func (x *exchange) connect(ctx context.Context, address string) (*endpointConn, bool, error) {
+	if x.call.ID == "" {
+		// Nothing would tell the response from a copy of an earlier one.
+		c, err := dial(ctx, address)
+		return c, false, err
+	}
+	if x.mayRepeat() {
+		return x.daemon.pool.get(ctx, address, defaultIdleTime)
+	}
+	return x.daemon.pool.get(ctx, address, maxIdleUnrepeatable)
+}
+
 // stallTimeout returns how long the endpoint may send nothing before the request fails over to
 // another one.
 func (a *attempt) stallTimeout() time.Duration {
@@ -246,6 +260,10 @@
 	if err != nil {
 		return a.classifyError(err), false, nil
 	}
+	if reply.NotRun && reply.Signed {
+		// Only requests that run get a signature.
+		return a.classifyError(errContradiction), false, nil
+	}
 	a.reply = reply
 	if reply.Leaving {
 		a.recordLeaving()
@@ -259,12 +277,24 @@
 	if reply.NotRun {
 		a.x.log("Not run.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode, "Misdirected", reply.Misdirected)
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
-		return notRun, err == nil && a.reusable(response), response.Header
+		// The request may be sent to the same address again, for the endpoint that now has it. A second
+		// copy of this response would then seem to be the answer.
+		return notRun, err == nil && !reply.Misdirected && a.reusable(response), response.Header
 	}
 	if !reply.Signed {
 		a.x.log("Response without signature.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode)
 		return broken, false, nil
 	}
+	if slices.Contains(notRunStatuses, response.StatusCode) {
+		// The status says to a caller what the endpoint's header does not say.
+		a.x.log("Refusal of a request that may have run.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode)
+		return failed, false, nil
+	}
+	if a.x.responseStarted && !a.x.continues(response) {
+		// The caller has a part of a stream, which only events can continue.
+		a.x.log("Response can't continue the stream.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode)
+		return failed, false, nil
+	}
 	if a.x.route.Kind == setup.Stream && response.StatusCode < http.StatusMultipleChoices {
 		result, err = a.forwardStream(response)
 	} else {
@@ -364,10 +394,17 @@
 		if err != nil {
 			return nil, Reply{}, err
 		}
+		if !response.ProtoAtLeast(1, 1) {
+			// net/http doesn't decode chunks in a response of version 1.0.
+			return nil, Reply{}, errVersion
+		}
 		a.endpointConn.limitReads(unlimited)
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		if a.reused && joined(response) {
+			return nil, Reply{}, errJoined
+		}
 		reply := a.x.daemon.codec.ReadReply(response.StatusCode, response.Header, a.x.daemon.clock.now())
 		// On a connection that was used before, a response without an identifier may be a late copy of
 		// an earlier one.
@@ -385,6 +422,23 @@
 	return nil, Reply{}, errConnUnusable
 }
 
+// joined reports whether the head of a response has the begin of another one within its status line or a
+// value. An endpoint may send a part of an earlier response before the next one.
+func joined(response *http.Response) bool {
+	const version = "HTTP/1."
+	if strings.Contains(response.Status, version) {
+		return true
+	}
+	for _, values := range response.Header {
+		for _, value := range values {
+			if strings.Contains(value, version) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // classifyError returns the outcome for an error on the connection.
 func (a *attempt) classifyError(err error) outcome {
 	if a.silence.hasFailedOver() {
@@ -404,6 +458,10 @@
 	if err != nil {
 		return a.classifyError(err), err
 	}
+	if len(body) == 0 && !framed(response) && x.call.Method != http.MethodHead {
+		// An endpoint that crashes as it begins its response leaves a head and a closed connection.
+		return a.classifyError(io.ErrUnexpectedEOF), io.ErrUnexpectedEOF
+	}
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if buffered.status >= http.StatusInternalServerError {
 		x.failedResponse = buffered
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -46,6 +47,9 @@
 		usageCounted    bool
 		// lastEvent is the last event that was sent to the caller.
 		lastEvent string
+		// positionUnknown reports whether an event without an identifier was sent to the caller, so that no
+		// other endpoint can go on after it.
+		positionUnknown bool
 		// suspect identifies the request if it is sent again after it crashed endpoints.
 		suspect suspect.Key
 		// parts identifies the parts of the prompt that other requests may have too.
@@ -110,8 +114,8 @@
 		result := x.attempt(ctx, next, sends)
 		d.tables.release(next.placed)
 		d.meters.count("Attempts." + string(result))
-		if x.responseStarted && x.route.Kind != setup.Stream && result != delivered && result != callerGone {
-			// Only a stream can go on at another endpoint.
+		if x.responseStarted && (x.route.Kind != setup.Stream || x.positionUnknown) && result != delivered && result != callerGone {
+			// Only a stream can go on at another endpoint, after an event that has an identifier.
 			x.fail(result, string(result))
 			return
 		}
@@ -334,7 +338,7 @@
 	case x.responseStarted:
 		x.log("Response aborted.", "Reason", reason, "LastEvent", x.lastEvent)
 		x.daemon.meters.count("Answers.BrokenOff")
-		panic(http.ErrAbortHandler)
+		x.abort()
 	case x.failedResponse != nil:
 		x.log("Failure forwarded.", "Status", x.failedResponse.status, "Reason", reason)
 		x.failedResponse.write(x.writer)
@@ -347,6 +351,20 @@
 	}
 }
 
+// abort breaks off a response that has begun, so that the caller notices.
+func (x *exchange) abort() {
+	if !x.request.ProtoAtLeast(1, 1) {
+		// Without chunks, the end of the connection is that of the response. Only a reset is an error.
+		if conn, _, err := http.NewResponseController(x.writer).Hijack(); err == nil {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // recordHealth records the outcome of an attempt for the endpoint's health and logs a change of its
 // state.
 func (x *exchange) recordHealth(endpoint setup.Endpoint, kind health.OutcomeKind, picked choice.Picked, sentAt time.Time) {
--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -51,6 +51,12 @@
 var (
 	// errConnUnusable means that an idle connection was closed or has bytes that belong to no request.
 	errConnUnusable = errors.New("idle connection is not usable")
+	// errContradiction means that a response says that the request has run and that it has not.
+	errContradiction = errors.New("response contradicts itself")
+	// errJoined means that a response follows a part of an earlier one.
+	errJoined = errors.New("response follows a part of another one")
+	// errVersion means that a response has an older version of HTTP than 1.1.
+	errVersion = errors.New("response has an old version of HTTP")
 	// errTooManyBytes means that an endpoint has sent more than a response may have.
 	errTooManyBytes = errors.New("response exceeds its limit")
 )
@@ -71,12 +77,18 @@
 		}
 		_ = c.Close()
 	}
+	c, err := dial(ctx, address)
+	return c, false, err
+}
+
+// dial opens a connection. An error means that nothing was sent.
+func dial(ctx context.Context, address string) (*endpointConn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
-	return newEndpointConn(conn, address), false, nil
+	return newEndpointConn(conn, address), nil
 }
 
 func (p *pool) pop(address string) *endpointConn {
