relay, roster, adapt: records are ordered by the era of the log and their offset

Cause: every cursor is an offset, and the larger of two offsets counts as the later position. A restored log gives out offsets again: a reader that has read up to offset 4 asks from 4 on and never sees the record that is written at 3. Class of fault: trust that what the store has acknowledged stays. A page of another era is dropped and all is read again; the reader forwards the operators' records of a full read of a new era; two full reads in a row without a successful one between them are followed by the pause after an error.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -1,6 +1,7 @@
 // Package roster tracks the endpoints that are registered in the platform's log.
 //
-// Each endpoint's records are applied in offset order: a stale page or a late record has no effect.
+// Each endpoint's records are applied in the order of their positions: a stale page or a late record has no
+// effect.
 // While the log is unavailable, registrations expire although their endpoints may be alive. A missing
 // record is therefore ignored during the outage and for a grace period after it; an endpoint whose
 // record is still missing then is removed. A record with the state Leaving takes effect immediately.
@@ -8,7 +9,7 @@
 // # Usage
 //
 //	state := roster.New()
-//	state, changes := state.Update(roster.Put{Offset: 7, Endpoint: endpoint, Now: now})
+//	state, changes := state.Update(roster.Put{Position: value.Position{Era: 1, Offset: 7}, Endpoint: endpoint, Now: now})
 //	state, changes = state.Update(roster.Tick{Now: now})
 //	for _, e := range state.Endpoints() { ... }
 //
@@ -22,6 +23,7 @@
 	"time"
 
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -32,28 +34,28 @@
 
 	// Put carries a record of one endpoint.
 	Put struct {
-		Offset   int64
+		Position value.Position
 		Endpoint setup.Endpoint
 		Now      time.Time
 	}
 
 	// Deleted reports that an endpoint's record was deleted or cannot be decoded.
 	Deleted struct {
-		Offset int64
-		ID     string
-		Now    time.Time
+		Position value.Position
+		ID       string
+		Now      time.Time
 	}
 
 	// Removed reports that another daemon has removed the endpoint.
 	Removed struct {
-		Offset int64
-		ID     string
+		Position value.Position
+		ID       string
 	}
 
-	// Listed reports a full listing of the records up to the offset End. An endpoint that has an
+	// Listed reports a full listing of the records up to the position End. An endpoint that has an
 	// older record and is not in IDs was deleted.
 	Listed struct {
-		End int64
+		End value.Position
 		IDs []string
 		Now time.Time
 	}
@@ -94,7 +96,7 @@
 
 	entry struct {
 		endpoint setup.Endpoint
-		offset   int64
+		position value.Position
 		present  bool
 		// missing reports that the record was deleted while the endpoint may be alive; the endpoint
 		// is removed at graceUntil.
@@ -117,7 +119,7 @@
 	// reregisterGrace is how long live endpoints take to register again after an outage of the log.
 	// The platform specifies about two seconds.
 	reregisterGrace = 2 * time.Second
-	// maxDeleted is the maximum number of removed entries kept to reject records with older offsets.
+	// maxDeleted is the maximum number of removed entries kept to reject older records.
 	// All of them are discarded when it is exceeded.
 	maxDeleted = 512
 )
@@ -132,17 +134,17 @@
 		return s.put(m)
 	case Deleted:
 		e, ok := s.entries[m.ID]
-		if !ok || m.Offset <= e.offset {
+		if !ok || !e.position.Before(m.Position) {
 			return s, nil
 		}
-		e.offset = m.Offset
+		e.position = m.Position
 		return s.missing(m.ID, e, m.Now)
 	case Removed:
 		e, ok := s.entries[m.ID]
-		if !ok || !e.present || m.Offset < e.offset {
+		if !ok || !e.present || m.Position.Before(e.position) {
 			return s, nil
 		}
-		e.offset, e.present, e.missing = m.Offset, false, false
+		e.position, e.present, e.missing = m.Position, false, false
 		s.entries[m.ID] = e
 		return s, []Change{{Endpoint: e.endpoint, Reason: Gone}}
 	case Listed:
@@ -165,10 +167,10 @@
 
 func (s State) put(m Put) (State, []Change) {
 	old, exists := s.entries[m.Endpoint.ID]
-	if exists && m.Offset <= old.offset {
+	if exists && !old.position.Before(m.Position) {
 		return s, nil
 	}
-	s.entries[m.Endpoint.ID] = entry{endpoint: m.Endpoint, offset: m.Offset, present: true}
+	s.entries[m.Endpoint.ID] = entry{endpoint: m.Endpoint, position: m.Position, present: true}
 	switch {
 	case !exists || !old.present:
 		return s, []Change{{Endpoint: m.Endpoint, Reason: Joined}}
@@ -206,7 +208,7 @@
 	}
 	var changes []Change
 	for id, e := range s.entries {
-		if listed[id] || e.offset >= m.End || !e.present {
+		if listed[id] || !e.position.Before(m.End) || !e.present {
 			continue
 		}
 		var change []Change
@@ -250,12 +252,10 @@
 	return endpoints
 }
 
-// Offset returns the offset of the endpoint's newest record, or -1 if the endpoint is unknown.
-func (s State) Offset(id string) int64 {
-	if e, ok := s.entries[id]; ok {
-		return e.offset
-	}
-	return -1
+// Position returns the position of the endpoint's newest record, and whether the endpoint is known.
+func (s State) Position(id string) (value.Position, bool) {
+	e, ok := s.entries[id]
+	return e.position, ok
 }
 
 func (Put) message()          {}
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"lentilstage.dev/domain/setup"
-
 	"lentilstage.dev/decide/cases"
+	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -25,6 +25,7 @@
 		Drop     string   `yaml:"Drop"`
 		List     []string `yaml:"List"`
 		Offset   int64    `yaml:"Offset"`
+		Era      int64    `yaml:"Era"`
 		End      int64    `yaml:"End"`
 		State    string   `yaml:"State"`
 		Born     int64    `yaml:"Born"`
@@ -67,6 +68,7 @@
 }
 
 func (s step) message() Message {
+	at := value.Position{Era: s.Era, Offset: s.Offset}
 	now := time.Unix(1000, 0).Add(time.Duration(s.At * float64(time.Second)))
 	switch {
 	case s.Put != "":
@@ -74,9 +76,9 @@
 		if s.State != "" {
 			state = setup.State(s.State)
 		}
-		return Put{Offset: s.Offset, Now: now, Endpoint: setup.Endpoint{ID: s.Put, State: state, StartedAtMS: s.Born}}
+		return Put{Position: at, Now: now, Endpoint: setup.Endpoint{ID: s.Put, State: state, StartedAtMS: s.Born}}
 	case s.Drop != "":
-		return Deleted{Offset: s.Offset, ID: s.Drop, Now: now}
+		return Deleted{Position: at, ID: s.Drop, Now: now}
 	case s.Lost:
 		return LogLost{Now: now}
 	case s.Returned:
@@ -84,5 +86,5 @@
 	case s.Elapsed:
 		return Tick{Now: now}
 	}
-	return Listed{End: s.End, IDs: s.List, Now: now}
+	return Listed{End: value.Position{Era: s.Era, Offset: s.End}, IDs: s.List, Now: now}
 }
--- a/entryd/relay/adapter.go
+++ b/entryd/relay/adapter.go
@@ -10,6 +10,7 @@
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/shift"
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -19,22 +20,26 @@
 
 	// Record is one record of a stream.
 	Record struct {
+		// Era is the era of the log in which the record was read.
+		Era    int64  `json:"Era,omitempty"`
 		Offset int64  `json:"Offset"`
 		Key    string `json:"Key"`
 		// Value is nil for a deleted key.
 		Value []byte `json:"Value"`
 	}
 
-	// Page is a sequence of records. End is the offset after the stream's newest record.
+	// Page is a sequence of records. End is the position after the stream's newest record.
 	Page struct {
 		Records []Record
-		End     int64
+		End     value.Position
 	}
 
-	// Store accesses the platform's log. Reads are safe to repeat.
+	// Store accesses the platform's log. Reads are safe to repeat. Positions have the era of the log at the
+	// time of the response; a log that was restored from a copy begins a new era.
 	Store struct {
 		// Read returns the records from an offset on. If there are none, it waits for one up to the
-		// given time. It returns ErrTrimmed if records from the offset on are no longer kept.
+		// given time. It returns ErrTrimmed if records from the offset on are no longer kept, or the
+		// stream ends before the offset.
 		Read func(ctx context.Context, stream Stream, from int64, wait time.Duration) (Page, error)
 		// Newest returns the newest record of each key. End is the stream's end before the first of
 		// them was read.
@@ -42,7 +47,7 @@
 		// Append adds a record if the stream ends at the offset; AnyOffset has no condition. It
 		// returns the new end, ErrConflict if the stream ends elsewhere, or ErrUnavailable if nothing
 		// was done. After any other error the record may exist or appear later.
-		Append func(ctx context.Context, stream Stream, at int64, key string, value []byte) (int64, error)
+		Append func(ctx context.Context, stream Stream, at int64, key string, value []byte) (value.Position, error)
 	}
 
 	// HeldLease identifies the lease under which a call is made, by its holder and fencing number.
@@ -167,6 +172,9 @@
 	AnyOffset int64 = -1
 )
 
+// Position returns the position of the record.
+func (r Record) Position() value.Position { return value.Position{Era: r.Era, Offset: r.Offset} }
+
 var (
 	// ErrTrimmed reports that the requested records are no longer kept.
 	ErrTrimmed = eris.New("records are no longer kept")
--- a/entryd/relay/control.go
+++ b/entryd/relay/control.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"lentilstage.dev/decide/hubs"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -22,9 +23,10 @@
 	snapshot struct {
 		Operators []Record `json:"Operators"`
 		Endpoints []Record `json:"Endpoints"`
-		// End is the offset after the last endpoint record that the sender knows. An endpoint with an
-		// older record that is missing from Endpoints is gone.
+		// End is the offset after the last endpoint record that the sender knows, in the era Era of the
+		// log. An endpoint with an older record that is missing from Endpoints is gone.
 		End int64 `json:"End"`
+		Era int64 `json:"Era,omitempty"`
 		// Buckets are the buckets of endpoints that the snapshot covers; null means all.
 		Buckets []int `json:"Buckets"`
 		// Members are the daemons that the sender knows.
@@ -95,9 +97,9 @@
 // snapshot returns the records that this daemon knows. End is the offset up to which endpoint records
 // were read, since the records of endpoints that are gone are left out.
 func (d *Daemon) snapshot() snapshot {
-	end := d.freshness.nextOffset(Endpoints, 0)
+	end := d.freshness.next(Endpoints)
 	s := d.tables.snapshot()
-	s.End = end
+	s.Era, s.End = end.Era, end.Offset
 	for _, r := range d.members.all() {
 		s.Members = append(s.Members, r.Member)
 	}
@@ -233,7 +235,7 @@
 		for _, r := range s.Endpoints {
 			keys = append(keys, r.Key)
 		}
-		d.publishChanges(d.tables.applyListing(s.End, keys, d.clock.now()))
+		d.publishChanges(d.tables.applyListing(value.Position{Era: s.Era, Offset: s.End}, keys, d.clock.now()))
 		d.logger.WithName("control").Info("Snapshot applied.", "From", address, "Records", len(s.Operators)+len(s.Endpoints))
 		return
 	}
--- a/entryd/relay/exchange_test.go
+++ b/entryd/relay/exchange_test.go
@@ -13,6 +13,7 @@
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/poison"
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 // oneRequest is the load of one request.
@@ -153,13 +154,13 @@
 			sender.addEndpoint(id, int64(i+1))
 		}
 	}
-	sender.tables.applyListing(400, nil, now.Add(-time.Hour))
+	sender.tables.applyListing(value.Position{Offset: 400}, nil, now.Add(-time.Hour))
 	for i := range 300 {
 		if i != 8 {
 			sender.addEndpoint(fmt.Sprint("engine-", i), int64(500+i))
 		}
 	}
-	sender.freshness.recordOwnRead(Endpoints, 900, now)
+	sender.freshness.recordOwnRead(Endpoints, value.Position{Offset: 900}, now)
 	config, err := setup.New(1, nil, nil, nil, setup.Limits{})
 	if err != nil {
 		t.Fatal(err)
@@ -182,7 +183,7 @@
 		receiver.addEndpoint(r.Key, r.Offset)
 		keys = append(keys, r.Key)
 	}
-	receiver.tables.applyListing(s.End, keys, now)
+	receiver.tables.applyListing(value.Position{Offset: s.End}, keys, now)
 	if !receiver.knowsEndpoint("engine-7") || receiver.knowsEndpoint("engine-8") || !receiver.knowsEndpoint("engine-9") {
 		t.Errorf("after the snapshot the receiver knows engine-7: %v, engine-8: %v, engine-9: %v; want all but engine-8",
 			receiver.knowsEndpoint("engine-7"), receiver.knowsEndpoint("engine-8"), receiver.knowsEndpoint("engine-9"))
@@ -217,7 +218,7 @@
 		t.Fatal(err)
 	}
 	d.tables.applyConfig(config, Record{Key: "config"}, now)
-	d.tables.applyListing(1, nil, now)
+	d.tables.applyListing(value.Position{Offset: 1}, nil, now)
 	writing, stall := make(chan struct{}), make(chan struct{})
 	var sending sync.WaitGroup
 	for range maxSnapshots {
--- a/entryd/relay/follower_test.go
+++ b/entryd/relay/follower_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 // newTestDaemon returns a daemon that does not serve and whose clock shows *now.
@@ -54,7 +55,7 @@
 	// By now, registrations that expired in the outage would have been renewed.
 	now = now.Add(2 * time.Second)
 	d.gossip.handle(hub, 0, "127.0.0.1:9")
-	d.tables.applyListing(9, nil, now)
+	d.tables.applyListing(value.Position{Offset: 9}, nil, now)
 	d.tables.tick(now)
 	if d.knowsEndpoint("e1") {
 		t.Error("an endpoint that is gone is kept although the hub reads the log again")
@@ -94,8 +95,8 @@
 		d.addEndpoint("e2", 8)
 	}
 	sender.tables.deleteEndpoint(Record{Key: "e2", Offset: 9}, now)
-	sender.tables.applyListing(10, []string{"e1"}, now)
-	sender.freshness.recordOwnRead(Endpoints, 10, now)
+	sender.tables.applyListing(value.Position{Offset: 10}, []string{"e1"}, now)
+	sender.freshness.recordOwnRead(Endpoints, value.Position{Offset: 10}, now)
 	// A daemon sends snapshots only when it is ready.
 	config, err := setup.New(1, nil, nil, nil, setup.Limits{})
 	if err != nil {
@@ -108,7 +109,7 @@
 	if err := json.Unmarshal(recorder.Body.Bytes(), &s); err != nil {
 		t.Fatal(err)
 	}
-	receiver.tables.applyListing(s.End, []string{"e1"}, now)
+	receiver.tables.applyListing(value.Position{Offset: s.End}, []string{"e1"}, now)
 	if receiver.knowsEndpoint("e2") || !receiver.knowsEndpoint("e1") {
 		t.Errorf("after a snapshot with End %d the receiver knows e1: %v, e2: %v; want e1 alone", s.End, receiver.knowsEndpoint("e1"), receiver.knowsEndpoint("e2"))
 	}
--- a/entryd/relay/freshness.go
+++ b/entryd/relay/freshness.go
@@ -24,10 +24,10 @@
 	// readerMatchedAt is the same of the reader's reads alone. A hub informs its followers of these: they
 	// can't find out that it lacks records.
 	readerMatchedAt map[Stream]time.Time
-	// ownOffset is the offset after the records that this daemon has, hubOffset the one after the
-	// hub's endpoint records.
-	ownOffset map[Stream]int64
-	hubOffset int64
+	// own is the position after the records that this daemon has, hubEndpoints the one after the hub's
+	// endpoint records.
+	own          map[Stream]value.Position
+	hubEndpoints value.Position
 	// behindSince is when the hub first reported more operators' records than this daemon has; zero
 	// if it has not.
 	behindSince time.Time
@@ -70,27 +70,27 @@
 func newFreshness(rosterHash func(time.Time) uint64) *freshness {
 	return &freshness{
 		ownReadAt: map[Stream]time.Time{}, hubReadAt: map[Stream]time.Time{}, readerReadAt: map[Stream]time.Time{},
-		matchedAt: map[Stream]time.Time{}, readerMatchedAt: map[Stream]time.Time{}, ownOffset: map[Stream]int64{}, rosterHash: rosterHash,
+		matchedAt: map[Stream]time.Time{}, readerMatchedAt: map[Stream]time.Time{}, own: map[Stream]value.Position{}, rosterHash: rosterHash,
 	}
 }
 
 // recordOwnRead records a read by this daemon up to the stream's end.
-func (f *freshness) recordOwnRead(stream Stream, next int64, now time.Time) {
+func (f *freshness) recordOwnRead(stream Stream, next value.Position, now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.ownReadAt[stream], f.ownOffset[stream] = now, max(f.ownOffset[stream], next)
+	f.ownReadAt[stream], f.own[stream] = now, value.Furthest(f.own[stream], next)
 	if stream == Operators {
 		f.behindSince = time.Time{}
 	}
 }
 
-// recordForwarded records that the hub has forwarded all operators' records between two offsets. If
-// earlier records are missing, the daemon reads them itself.
-func (f *freshness) recordForwarded(from, next int64) {
+// recordForwarded records that the hub has forwarded all operators' records between two positions of an
+// era. If earlier records are missing, the daemon reads them itself.
+func (f *freshness) recordForwarded(from, next value.Position) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if from <= f.ownOffset[Operators] {
-		f.ownOffset[Operators] = max(f.ownOffset[Operators], next)
+	if from.Offset == 0 || from.Era == f.own[Operators].Era && from.Offset <= f.own[Operators].Offset {
+		f.own[Operators] = value.Furthest(f.own[Operators], next)
 	}
 }
 
@@ -103,7 +103,7 @@
 	readAt := f.readsFor(isHub)
 	readAt[Operators] = value.Later(readAt[Operators], ago(t.OperatorsAgeMS, now))
 	readAt[Endpoints] = value.Later(readAt[Endpoints], endpointsReadAt)
-	if t.OperatorsNext <= f.ownOffset[Operators] {
+	if !f.own[Operators].Before(t.operatorsEnd()) {
 		f.behindSince = time.Time{}
 		f.recordMatch(Operators, ago(t.OperatorsAgeMS, now), isHub)
 	} else if f.behindSince.IsZero() {
@@ -111,7 +111,7 @@
 	}
 	if t.Roster == hash {
 		f.divergedSince = time.Time{}
-		f.hubOffset = t.EndpointsNext
+		f.hubEndpoints = t.endpointsEnd()
 		f.recordMatch(Endpoints, endpointsReadAt, isHub)
 	} else if f.divergedSince.IsZero() {
 		f.divergedSince = now
@@ -132,11 +132,12 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	readAt := f.ownReadAt[Operators]
-	t.OperatorsNext, t.EndpointsNext = f.ownOffset[Operators], f.ownOffset[Endpoints]
+	endpoints := f.own[Endpoints]
 	if !own {
 		readAt = value.Later(readAt, f.readerMatchedAt[Operators])
-		t.EndpointsNext = max(t.EndpointsNext, f.hubOffset)
+		endpoints = value.Furthest(endpoints, f.hubEndpoints)
 	}
+	*t = t.withEnds(f.own[Operators], endpoints)
 	t.OperatorsAgeMS = ageMS(readAt, now)
 }
 
@@ -192,16 +193,14 @@
 	return limit
 }
 
-// nextOffset returns the offset after the stream's records that this daemon knows, at least minimum.
-// An own read starts from it.
-func (f *freshness) nextOffset(stream Stream, minimum int64) int64 {
+// next returns the position after the stream's records that this daemon knows. An own read starts from it.
+func (f *freshness) next(stream Stream) value.Position {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	nextOffset := max(minimum, f.ownOffset[stream])
 	if stream == Endpoints {
-		nextOffset = max(nextOffset, f.hubOffset)
+		return value.Furthest(f.own[stream], f.hubEndpoints)
 	}
-	return nextOffset
+	return f.own[stream]
 }
 
 // rosterDiverged reports whether the endpoints have differed from the hub's for too long. If so, it
--- a/entryd/relay/freshness_test.go
+++ b/entryd/relay/freshness_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"lentilstage.dev/domain/value"
 )
 
 // TestReachableByPeers guards against a daemon that alone lost the log and keeps endpoints that have
@@ -37,8 +39,8 @@
 func TestHubTellsOnlyReadsItHas(t *testing.T) {
 	start := time.Unix(1000, 0)
 	hub := newFreshness(func(time.Time) uint64 { return 7 })
-	hub.recordOwnRead(Operators, 5, start)
-	hub.recordOwnRead(Endpoints, 40, start)
+	hub.recordOwnRead(Operators, value.Position{Offset: 5}, start)
+	hub.recordOwnRead(Endpoints, value.Position{Offset: 40}, start)
 	var told totals
 	for second := 1; second <= 4; second++ {
 		now := start.Add(time.Duration(second) * time.Second)
@@ -50,7 +52,7 @@
 		}
 	}
 	now := start.Add(5 * time.Second)
-	hub.recordForwarded(5, 6)
+	hub.recordForwarded(value.Position{Offset: 5}, value.Position{Offset: 6})
 	hub.applyHubTotals(totals{OperatorsNext: 6, EndpointsNext: 41, Roster: 7}, now, true, now)
 	hub.fillTotals(&told, false, now)
 	if informedAt, _ := hub.readTimes(Endpoints); told.OperatorsAgeMS != 0 || !informedAt.Equal(now) {
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -15,6 +15,7 @@
 
 	"lentilstage.dev/decide/hubs"
 	"lentilstage.dev/decide/roster"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -156,6 +157,7 @@
 	if m.Fence > 0 {
 		d.leader.observe(m.Fence)
 	}
+	d.observeEra(m.Era, m.Daemon)
 	d.freshness.recordVersion(m.Config, now)
 	d.freshness.recordPeerRead(ago(m.ReadAgeMS, now))
 	switch {
@@ -219,10 +221,10 @@
 // followers of this daemon.
 func (g *gossip) handleOperators(m message) {
 	g.daemon.applyOperatorRecords(m.Operators)
-	g.daemon.freshness.recordForwarded(m.OperatorsFrom, m.OperatorsNext)
-	g.sendTo(g.followers(), func() message {
-		return message{Operators: m.Operators, OperatorsFrom: m.OperatorsFrom, OperatorsNext: m.OperatorsNext}
-	})
+	from := value.Position{Era: m.OperatorsEra, Offset: m.OperatorsFrom}
+	next := value.Position{Era: m.OperatorsEra, Offset: m.OperatorsNext}
+	g.daemon.freshness.recordForwarded(from, next)
+	g.sendTo(g.followers(), func() message { return operatorsMessage(from, next, m.Operators) })
 }
 
 // handleChanges applies changes of endpoints.
@@ -336,9 +338,14 @@
 	}
 }
 
+// operatorsMessage returns a message with the operators' records between two positions of an era.
+func operatorsMessage(from, next value.Position, records []Record) message {
+	return message{Operators: records, OperatorsEra: next.Era, OperatorsFrom: from.Offset, OperatorsNext: next.Offset}
+}
+
 // sendOperators forwards operators' records that this daemon has read. Others read records that don't
 // fit into a datagram themselves.
-func (g *gossip) sendOperators(from, next int64, records []Record) {
+func (g *gossip) sendOperators(from, next value.Position, records []Record) {
 	size := 0
 	for _, r := range records {
 		size += len(r.Key) + len(r.Value)
@@ -346,7 +353,7 @@
 	if size == 0 || size > maxForwardedBytes {
 		return
 	}
-	g.sendTo(g.recipients(), func() message { return message{Operators: records, OperatorsFrom: from, OperatorsNext: next} })
+	g.sendTo(g.recipients(), func() message { return operatorsMessage(from, next, records) })
 }
 
 // followers returns the daemons that follow this one.
@@ -399,7 +406,7 @@
 	informedAt, ownReadAt := d.freshness.readTimes(Endpoints)
 	m.ReadAgeMS, m.OwnReadAgeMS = ageMS(informedAt, now), ageMS(ownReadAt, now)
 	m.Fence = d.leader.fence()
-	m.Config = d.tables.configVersion()
+	m.Config, m.Era = d.tables.configVersion(), d.era.Load()
 	d.members.use(func(s *hubs.State) {
 		for _, r := range s.Referrals(now) {
 			m.Referrals = append(m.Referrals, newReferral(r, now))
--- a/entryd/relay/leader.go
+++ b/entryd/relay/leader.go
@@ -141,7 +141,7 @@
 			next = before.WithFailure(l.daemon.clock.boot())
 			break
 		}
-		next = before.WithAppended(a, end, sentAt)
+		next = before.WithAppended(a, end.Offset, sentAt)
 		if a.Record.Renewal == 0 {
 			l.log("Lease acquired.", "Fence", a.Record.Fence, "Note", a.Record.Note)
 			l.capacityPlanner.restoreDemand(a.Record.Note)
@@ -174,7 +174,7 @@
 			}
 		}
 	}
-	return page.End, nil
+	return page.End.Offset, nil
 }
 
 // reportUsage writes the counts of ended windows to the log as final, then sends them to the
@@ -265,7 +265,7 @@
 	if err != nil {
 		return err
 	}
-	l.finalWindows, l.finalEnd = record.Windows, end
+	l.finalWindows, l.finalEnd = record.Windows, end.Offset
 	return nil
 }
 
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -9,6 +9,7 @@
 	"lentilstage.dev/decide/poison"
 	"lentilstage.dev/decide/shift"
 	"lentilstage.dev/decide/suspect"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -77,6 +78,10 @@
 		Operators     []Record `cbor:"27,keyasint,omitempty"`
 		OperatorsFrom int64    `cbor:"28,keyasint,omitempty"`
 		OperatorsNext int64    `cbor:"29,keyasint,omitempty"`
+		// OperatorsEra is the era of the log that these offsets belong to.
+		OperatorsEra int64 `cbor:"40,keyasint,omitempty"`
+		// Era is the newest era of the log that the sender knows.
+		Era int64 `cbor:"41,keyasint,omitempty"`
 		// Work is the engine time of the requests that the sender has placed, in milliseconds by
 		// service.
 		Work map[string]int64 `cbor:"16,keyasint,omitempty"`
@@ -124,11 +129,14 @@
 		// OperatorsAgeMS is the time since the last read of the operators' stream that informs the
 		// hub, in sums since its own. That of the endpoints is in the message.
 		OperatorsAgeMS int64 `cbor:"3,keyasint"`
-		// OperatorsNext is the offset after the last operators' record that the hub has read.
+		// OperatorsNext is the offset after the last operators' record that the hub has read, in the
+		// era OperatorsEra of the log.
 		OperatorsNext int64 `cbor:"9,keyasint,omitempty"`
-		// EndpointsNext is the offset after the last endpoint record that the hub has read, Roster
-		// the hash of the endpoints at that offset.
+		OperatorsEra  int64 `cbor:"10,keyasint,omitempty"`
+		// EndpointsNext is the offset after the last endpoint record that the hub has read, in the era
+		// EndpointsEra, and Roster the hash of the endpoints at that position.
 		EndpointsNext int64  `cbor:"5,keyasint"`
+		EndpointsEra  int64  `cbor:"11,keyasint,omitempty"`
 		Roster        uint64 `cbor:"6,keyasint"`
 	}
 
@@ -141,6 +149,23 @@
 	}
 )
 
+// operatorsEnd returns the position after the last operators' record that the hub has read.
+func (t totals) operatorsEnd() value.Position {
+	return value.Position{Era: t.OperatorsEra, Offset: t.OperatorsNext}
+}
+
+// endpointsEnd returns the position after the last endpoint record that the hub has read.
+func (t totals) endpointsEnd() value.Position {
+	return value.Position{Era: t.EndpointsEra, Offset: t.EndpointsNext}
+}
+
+// withEnds returns the totals with the positions up to which the hub has read.
+func (t totals) withEnds(operators, endpoints value.Position) totals {
+	t.OperatorsEra, t.OperatorsNext = operators.Era, operators.Offset
+	t.EndpointsEra, t.EndpointsNext = endpoints.Era, endpoints.Offset
+	return t
+}
+
 func (l load) plus(o load) load {
 	return load{Requests: l.Requests + o.Requests, Reading: l.Reading + o.Reading, Memory: l.Memory + o.Memory}
 }
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -69,6 +69,8 @@
 		draining atomic.Bool
 		// closing is set in the last phase of draining, in which every request is refused.
 		closing atomic.Bool
+		// era is the newest known era of the log; 0 if the log has not reported one.
+		era atomic.Int64
 		// membersRead is set once the daemons' records were read.
 		membersRead atomic.Bool
 		// operatorsUnreachable is set while the operators' stream can't be read.
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -18,6 +18,7 @@
 	"lentilstage.dev/decide/suspect"
 	"lentilstage.dev/decide/usage"
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -189,21 +190,23 @@
 func (t *tables) putEndpoint(record Record, endpoint setup.Endpoint, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if record.Offset > t.roster.Offset(endpoint.ID) {
+	before, known := t.roster.Position(endpoint.ID)
+	changes := t.updateRoster(roster.Put{Position: record.Position(), Endpoint: endpoint, Now: now})
+	if after, _ := t.roster.Position(endpoint.ID); !known || after != before {
 		t.records[Endpoints][record.Key] = record
 	}
-	return t.updateRoster(roster.Put{Offset: record.Offset, Endpoint: endpoint, Now: now})
+	return changes
 }
 
 // deleteEndpoint applies the deletion of an endpoint's record.
 func (t *tables) deleteEndpoint(record Record, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.updateRoster(roster.Deleted{Offset: record.Offset, ID: record.Key, Now: now})
+	return t.updateRoster(roster.Deleted{Position: record.Position(), ID: record.Key, Now: now})
 }
 
-// applyListing applies the identifiers of all endpoints with records up to the offset end.
-func (t *tables) applyListing(end int64, ids []string, now time.Time) []roster.Change {
+// applyListing applies the identifiers of all endpoints with records up to the position end.
+func (t *tables) applyListing(end value.Position, ids []string, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if !t.listed {
@@ -286,7 +289,7 @@
 func (t *tables) removeGone(record Record) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.updateRoster(roster.Removed{Offset: record.Offset, ID: record.Key})
+	return t.updateRoster(roster.Removed{Position: record.Position(), ID: record.Key})
 }
 
 // changesMessage returns a message with changes of endpoints.
@@ -297,7 +300,8 @@
 	for _, c := range changes {
 		id := c.Endpoint.ID
 		if c.Reason == roster.Gone {
-			m.Gone = append(m.Gone, Record{Key: id, Offset: t.roster.Offset(id)})
+			at, _ := t.roster.Position(id)
+			m.Gone = append(m.Gone, Record{Key: id, Era: at.Era, Offset: at.Offset})
 		} else if r, ok := t.records[Endpoints][id]; ok {
 			m.Put = append(m.Put, r)
 		}
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -5,7 +5,10 @@
 	"errors"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lentilstage.dev/decide/roster"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -20,17 +23,18 @@
 		minInterval time.Duration
 		// apply applies records; onListing, if set, the keys of a full read.
 		apply        func([]Record)
-		onListing    func(end int64, keys []string)
+		onListing    func(end value.Position, keys []string)
 		setReachable func(reachable bool)
-		// forward, if set, sends the records between two offsets to followers.
-		forward func(from, nextOffset int64, records []Record)
+		// forward, if set, sends the records between two positions to followers.
+		forward func(from, next value.Position, records []Record)
 
 		// newerKnown, if set, reports whether records newer than the last read are known to exist.
 		newerKnown func() bool
 
-		nextOffset int64
-		synced     bool
-		reachable  bool
+		synced    bool
+		reachable bool
+		// relisted is set after a full read because of trimmed records, until new records were read.
+		relisted bool
 	}
 )
 
@@ -58,6 +62,9 @@
 	followerReadRetryDelay = 1200 * time.Millisecond
 )
 
+// errOldEra reports a response of the log from an era that has ended.
+var errOldEra = eris.New("the log answered with an earlier era")
+
 // watchOperators reads the operators' stream.
 func (d *Daemon) watchOperators(ctx context.Context) error {
 	s := &streamReader{
@@ -76,7 +83,9 @@
 func (d *Daemon) watchEndpoints(ctx context.Context) error {
 	s := &streamReader{
 		daemon: d, stream: Endpoints, wait: endpointsWait, minInterval: endpointsInterval, apply: d.applyEndpointRecords,
-		onListing:    func(end int64, keys []string) { d.publishChanges(d.tables.applyListing(end, keys, d.clock.now())) },
+		onListing: func(end value.Position, keys []string) {
+			d.publishChanges(d.tables.applyListing(end, keys, d.clock.now()))
+		},
 		setReachable: d.setEndpointsReachable,
 	}
 	return s.run(ctx)
@@ -152,35 +161,52 @@
 	return followerReadRetryDelay
 }
 
-// readOnce makes one read: of everything first, then of new records.
+// readOnce makes one read: of everything first and after a new era of the log has begun, otherwise of new
+// records.
 func (s *streamReader) readOnce(ctx context.Context, wait time.Duration) error {
 	if !s.synced {
 		return s.readAll(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
+	call, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
-	s.nextOffset = s.daemon.freshness.nextOffset(s.stream, s.nextOffset)
-	page, err := s.daemon.store.Read(ctx, s.stream, s.nextOffset, wait)
+	from := s.daemon.freshness.next(s.stream)
+	page, err := s.daemon.store.Read(call, s.stream, from.Offset, wait)
 	if errors.Is(err, ErrTrimmed) {
-		s.daemon.logger.WithName("store").Info("Records were trimmed; reading all again.", "Stream", s.stream, "From", s.nextOffset)
+		s.daemon.logger.WithName("store").Info("Records were trimmed; reading all again.", "Stream", s.stream, "From", from.Offset, "Era", from.Era)
 		s.synced = false
+		if s.relisted {
+			// A full read has not helped. Without the pause after an error, the two reads would alternate
+			// as fast as the log responds.
+			s.relisted = false
+			return err
+		}
+		s.relisted = true
 		return s.readAll(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	from := s.nextOffset
+	s.relisted = false
+	s.daemon.observeEra(page.End.Era, "")
+	if page.End.Era != from.Era {
+		// The records from this offset on may be others than those that followed in the era before.
+		s.synced = false
+		return s.readAll(ctx)
+	}
 	s.apply(page.Records)
+	next := from
 	for _, r := range page.Records {
-		s.nextOffset = max(s.nextOffset, r.Offset+1)
+		next = value.Furthest(next, value.Position{Era: r.Era, Offset: r.Offset + 1})
 	}
 	if s.forward != nil {
-		s.forward(from, s.nextOffset, page.Records)
+		s.forward(from, next, page.Records)
 	}
-	s.daemon.freshness.recordOwnRead(s.stream, s.nextOffset, s.daemon.clock.now())
+	s.daemon.freshness.recordOwnRead(s.stream, next, s.daemon.clock.now())
 	return nil
 }
 
+// readAll reads the newest record of each key. It returns errOldEra if the log answers with an era before one
+// that is known.
 func (s *streamReader) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.wait+readSlack)
 	defer cancel()
@@ -188,6 +214,11 @@
 	if err != nil {
 		return err
 	}
+	s.daemon.observeEra(page.End.Era, "")
+	known := s.daemon.freshness.next(s.stream)
+	if page.End.Era < known.Era {
+		return eris.Wrapf(errOldEra, "era %d, known %d", page.End.Era, known.Era)
+	}
 	keys := make([]string, 0, len(page.Records))
 	s.apply(page.Records)
 	for _, r := range page.Records {
@@ -196,13 +227,31 @@
 	if s.onListing != nil {
 		s.onListing(page.End, keys)
 	}
-	// The page may be older than earlier reads; the offset never decreases.
-	s.nextOffset = max(s.nextOffset, page.End)
+	if s.forward != nil && page.End.Era > known.Era {
+		s.forward(value.Position{Era: page.End.Era}, page.End, page.Records)
+	}
 	s.synced = true
-	s.daemon.freshness.recordOwnRead(s.stream, s.nextOffset, s.daemon.clock.now())
+	// The page may be older than earlier reads of its era; the position never goes back.
+	s.daemon.freshness.recordOwnRead(s.stream, page.End, s.daemon.clock.now())
 	return nil
 }
 
+// observeEra records the era of the log, as the log or another daemon reports it.
+func (d *Daemon) observeEra(era int64, from string) {
+	known := d.era.Load()
+	for ; era > known; known = d.era.Load() {
+		if !d.era.CompareAndSwap(known, era) {
+			continue
+		}
+		d.meters.setGauge("Log.Era", era)
+		if known > 0 {
+			// Records that the log had confirmed may be lost, and offsets are given out again.
+			d.meters.count("Log.Restored")
+			d.logger.WithName("store").Info("Log was restored from a copy.", "Era", era, "Before", known, "From", from)
+		}
+	}
+}
+
 // reportState reports whether the log is reachable and logs a change.
 func (s *streamReader) reportState(err error) {
 	reachable := err == nil
@@ -213,12 +262,13 @@
 		return
 	}
 	s.reachable = reachable
+	next := s.daemon.freshness.next(s.stream)
 	if reachable {
-		s.daemon.logger.WithName("store").Info("Reachable.", "Stream", s.stream, "Next", s.nextOffset)
+		s.daemon.logger.WithName("store").Info("Reachable.", "Stream", s.stream, "Next", next.Offset, "Era", next.Era)
 		return
 	}
 	s.daemon.meters.count("Store.Lost")
-	s.daemon.logger.WithName("store").Info("Unreachable.", "Stream", s.stream, "Next", s.nextOffset, "Error", err.Error())
+	s.daemon.logger.WithName("store").Info("Unreachable.", "Stream", s.stream, "Next", next.Offset, "Era", next.Era, "Error", err.Error())
 }
 
 // applyOperatorRecords applies operators' records.
