roster: registrations in the copy of a restored log do not bring endpoints back

After the log was restored from a copy, a full read shows the registrations of the copy in a new era: ready for an endpoint that has said since that it leaves, and present for one that is gone. Ordered by their positions alone they are the newest, so that requests would reach an endpoint that leaves until it registers again. Change: in a new era a registration takes effect only if its process started later or its sequence number is higher; both are counted by the endpoint itself and not by the log. Endpoints that the log lacks at the start of an era are kept for the two seconds in which live ones register again, as after an outage.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -1,7 +1,10 @@
 // Package roster tracks the endpoints that are registered in the platform's log.
 //
 // Each endpoint's records are applied in the order of their positions: a stale page or a late record has no
-// effect.
+// effect. When the log is restored from a copy, the records of the copy appear again in a new era, older than
+// what is known. In a new era a record is therefore applied only if its process or its sequence number is
+// newer, and a record that is missing is treated as after an outage.
+//
 // While the log is unavailable, registrations expire although their endpoints may be alive. A missing
 // record is therefore ignored during the outage and for a grace period after it; an endpoint whose
 // record is still missing then is removed. A record with the state Leaving takes effect immediately.
@@ -89,6 +92,8 @@
 	// State holds the registered endpoints.
 	State struct {
 		entries map[string]entry
+		// era is the newest era of the log in which a record was written.
+		era int64
 		// logDown is set while the log is unavailable; graceUntil is when the grace period ends.
 		logDown    bool
 		graceUntil time.Time
@@ -116,8 +121,8 @@
 	// Gone means that the endpoint was removed.
 	Gone Reason = "Gone"
 
-	// reregisterGrace is how long live endpoints take to register again after an outage of the log.
-	// The platform specifies about two seconds.
+	// reregisterGrace is how long live endpoints take to register again after an outage of the log or
+	// its restoration. The platform specifies about two seconds.
 	reregisterGrace = 2 * time.Second
 	// maxDeleted is the maximum number of removed entries kept to reject older records.
 	// All of them are discarded when it is exceeded.
@@ -131,8 +136,9 @@
 func (s State) Update(message Message) (State, []Change) {
 	switch m := message.(type) {
 	case Put:
-		return s.put(m)
+		return s.withEra(m.Position.Era, m.Now).put(m)
 	case Deleted:
+		s = s.withEra(m.Position.Era, m.Now)
 		e, ok := s.entries[m.ID]
 		if !ok || !e.position.Before(m.Position) {
 			return s, nil
@@ -148,7 +154,7 @@
 		s.entries[m.ID] = e
 		return s, []Change{{Endpoint: e.endpoint, Reason: Gone}}
 	case Listed:
-		return s.listed(m)
+		return s.withEra(m.End.Era, m.Now).listed(m)
 	case LogLost:
 		s.logDown = true
 	case LogRecovered:
@@ -165,9 +171,21 @@
 	return s, nil
 }
 
+// withEra begins the grace period of a new era: the log may lack the registrations of live endpoints.
+func (s State) withEra(era int64, now time.Time) State {
+	if era <= s.era {
+		return s
+	}
+	if len(s.entries) > 0 {
+		s.graceUntil = value.Later(s.graceUntil, now.Add(reregisterGrace))
+	}
+	s.era = era
+	return s
+}
+
 func (s State) put(m Put) (State, []Change) {
 	old, exists := s.entries[m.Endpoint.ID]
-	if exists && !old.position.Before(m.Position) {
+	if exists && !old.accepts(m) {
 		return s, nil
 	}
 	s.entries[m.Endpoint.ID] = entry{endpoint: m.Endpoint, position: m.Position, present: true}
@@ -184,6 +202,15 @@
 	return s, nil
 }
 
+// accepts reports whether a record is newer than the one that is known. In a new era it may come from the
+// copy from which the log was restored, so that its position says nothing.
+func (e entry) accepts(m Put) bool {
+	if m.Position.Era > e.position.Era {
+		return m.Endpoint.After(e.endpoint)
+	}
+	return e.position.Before(m.Position)
+}
+
 // missing removes an entry without a record, or marks it as missing during an outage of the log
 // and its grace period.
 func (s State) missing(id string, e entry, now time.Time) (State, []Change) {
@@ -211,6 +238,8 @@
 		if listed[id] || !e.position.Before(m.End) || !e.present {
 			continue
 		}
+		// Without this, a registration in the new era would have to be newer than one that it repeats.
+		e.position = value.Position{Era: m.End.Era, Offset: m.End.Offset - 1}
 		var change []Change
 		s, change = s.missing(id, e, m.Now)
 		changes = append(changes, change...)
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -26,6 +26,7 @@
 		List     []string `yaml:"List"`
 		Offset   int64    `yaml:"Offset"`
 		Era      int64    `yaml:"Era"`
+		Sequence int64    `yaml:"Sequence"`
 		End      int64    `yaml:"End"`
 		State    string   `yaml:"State"`
 		Born     int64    `yaml:"Born"`
@@ -76,7 +77,7 @@
 		if s.State != "" {
 			state = setup.State(s.State)
 		}
-		return Put{Position: at, Now: now, Endpoint: setup.Endpoint{ID: s.Put, State: state, StartedAtMS: s.Born}}
+		return Put{Position: at, Now: now, Endpoint: setup.Endpoint{ID: s.Put, State: state, StartedAtMS: s.Born, Sequence: s.Sequence}}
 	case s.Drop != "":
 		return Deleted{Position: at, ID: s.Drop, Now: now}
 	case s.Lost:
--- a/domain/setup/endpoint.go
+++ b/domain/setup/endpoint.go
@@ -1,6 +1,9 @@
 package setup
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 type (
 	// State is the state that an endpoint reports of itself.
@@ -25,6 +28,8 @@
 		// StartedAtMS is the start time of the process in Unix milliseconds. A process that restarts
 		// under the same identifier has a higher value.
 		StartedAtMS int64
+		// Sequence counts the registrations of a process.
+		Sequence int64
 	}
 )
 
@@ -48,6 +53,12 @@
 	return e.ID == other.ID && e.Address == other.Address && e.StartedAtMS == other.StartedAtMS
 }
 
+// After reports whether the record is newer than another one of the same endpoint, by the process that wrote
+// it and the process's sequence number.
+func (e Endpoint) After(other Endpoint) bool {
+	return cmp.Or(cmp.Compare(e.StartedAtMS, other.StartedAtMS), cmp.Compare(e.Sequence, other.Sequence)) > 0
+}
+
 // RoutingAttributes returns the attributes that determine which requests are routed to the endpoint.
 func (e Endpoint) RoutingAttributes() RoutingAttributes {
 	return RoutingAttributes{
