lease: a restored log does not bring two holders or a fencing number again

A log that was restored from a copy may lack the record of the holder, name a former one, or be empty, and gives out offsets again. Fencing numbers are such offsets: a new holder could send one that was sent before, or a lower one, and a former holder whose record is back would act beside the present one. An append without a response could be applied at an offset that fits again. Change: the fencing number has the era above the offset. The record has the era in which it was written and counts only in it. In a new era the last holder takes the lease again as long as nobody else can have taken it over; all others wait for longer than the lease, also after an announcement of a holder. An append that is confirmed in another era than that of its read counts as failed. What a holder sends is its own number, not that of the record that it read last. An empty log cannot be told from a new one by a process that has just started.

--- a/decide/lease/lease.go
+++ b/decide/lease/lease.go
@@ -4,7 +4,12 @@
 // The holder renews its record and acts only for a fraction of the lease, counted from the time at
 // which it sent the last confirmed renewal. Another daemon takes over once it has seen the same
 // record unchanged for longer than the lease; its append succeeds only if nothing was appended since
-// its last read. The fencing number of a holder is the offset after the record with which it took over.
+// its last read. The fencing number of a holder is the position after the record with which it took over.
+//
+// A log that is restored from a copy begins a new era. It may lack the record of the holder and name a former
+// one, and the offset of an append may fit again although other records lie there. A record therefore counts
+// only in the era in which it was written: in a new era the last holder takes the lease again as long as no
+// other daemon can have taken it over, and all others wait for longer than the lease.
 //
 // # Usage
 //
@@ -21,6 +26,8 @@
 
 import (
 	"time"
+
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -31,6 +38,8 @@
 		// Fence is the fencing number; it increases with each change of the holder.
 		Fence   int64 `json:"Fence"`
 		Renewal int64 `json:"Renewal"`
+		// Era is the era of the log that the holder knew when it wrote the record.
+		Era int64 `json:"Era,omitempty"`
 		// Note is data that the holder passes to its successor.
 		Note string `json:"Note"`
 	}
@@ -40,7 +49,7 @@
 		action()
 	}
 
-	// Read requests the newest record and the end offset of its stream.
+	// Read requests the newest record and the end of its stream.
 	Read struct{}
 
 	// Append requests that a record be appended if the stream still ends at offset At.
@@ -56,7 +65,9 @@
 		length      time.Duration
 
 		record Record
-		end    int64
+		end    value.Position
+		// restored reports that an era has begun since this process first read the log.
+		restored bool
 		// current reports that record and end reflect the last read or confirmed append.
 		current bool
 		// changedAt is when the present record was first seen, readAt when it was last read.
@@ -66,10 +77,14 @@
 		failedAt time.Time
 		// announcedAt is when the holder last announced to this daemon that it holds the lease.
 		announcedAt time.Time
-		// holdUntil is when this daemon stops acting as the holder; renewAt is when it renews.
+		// holdUntil is when this daemon stops acting as the holder under heldFence; renewAt is when it
+		// renews.
+		heldFence int64
 		holdUntil time.Time
 		renewAt   time.Time
-		note      string
+		// uncontestedUntil is when others may have taken over the lease that this daemon held.
+		uncontestedUntil time.Time
+		note             string
 	}
 )
 
@@ -88,6 +103,8 @@
 	// readFraction is the time between reads while the holder sends no announcements, as a fraction
 	// of the lease.
 	readFraction = 0.4
+	// eraBits is the number of bits of a fencing number that hold the offset.
+	eraBits = 32
 )
 
 // New returns the state of a daemon that has not read the log yet. The length is the duration of the
@@ -111,17 +128,24 @@
 		next := s.record
 		next.Renewal++
 		next.Note = s.note
-		return Append{Record: next, At: s.end}
+		return Append{Record: next, At: s.end.Offset}
 	}
-	takeover := Append{Record: Record{Holder: s.self, Incarnation: s.incarnation, Fence: s.end + 1, Note: s.record.Note}, At: s.end}
+	takeover := Append{At: s.end.Offset, Record: Record{
+		Holder: s.self, Incarnation: s.incarnation, Fence: fenceAt(s.end), Note: s.record.Note, Era: s.end.Era,
+	}}
+	claimed := s.claimed()
 	switch {
-	case s.record.Holder == "":
-		return takeover
-	case s.record.Holder == s.self && s.readRecently(now):
-		// The record was written by an earlier process of this daemon, which has ended.
+	case !claimed && s.Uncontested(now) && s.readRecently(now):
+		takeover.Record.Note = s.note
 		return takeover
 	case now.Before(s.announcedAt.Add(s.length)):
+		// A restored log may not know the holder that has announced itself.
 		return nil
+	case s.record.Holder == "" && claimed:
+		return takeover
+	case s.record.Holder == s.self && claimed && s.readRecently(now):
+		// The record was written by an earlier process of this daemon, which has ended.
+		return takeover
 	case !now.Before(s.changedAt.Add(s.fraction(takeoverFraction))) && s.readRecently(now):
 		return takeover
 	case now.Before(s.readAt.Add(s.fraction(readFraction))):
@@ -139,12 +163,33 @@
 	return time.Duration(fraction * float64(s.length))
 }
 
+// fenceAt returns the fencing number of a holder that takes over at the end of the stream. An era in which
+// offsets are given out again must not give out their fencing numbers again.
+func fenceAt(end value.Position) int64 { return end.Era<<eraBits + end.Offset + 1 }
+
+// holdsRecord reports whether this process is the holder by a record that it has written in the present era.
 func (s State) holdsRecord() bool {
-	return s.record.Holder == s.self && s.record.Incarnation == s.incarnation
+	return s.record.Holder == s.self && s.record.Incarnation == s.incarnation && s.claimed()
 }
 
-// WithRead returns the state after a read of the newest record and the stream's end offset.
-func (s State) WithRead(record Record, end int64, now time.Time) State {
+// claimed reports whether the record tells the holder: it was written in the present era, or no record was
+// ever written as far as this process can know.
+func (s State) claimed() bool {
+	if s.record.Holder == "" {
+		return !s.restored
+	}
+	return s.record.Era == s.end.Era
+}
+
+// WithRead returns the state after a read of the newest record and the end of the stream. A read from an era
+// that has ended is a failure.
+func (s State) WithRead(record Record, end value.Position, now time.Time) State {
+	if end.Era < s.end.Era {
+		return s.WithFailure(now)
+	}
+	if end.Era > s.end.Era && !s.changedAt.IsZero() {
+		s.changedAt, s.restored = now, true
+	}
 	if record != s.record || s.changedAt.IsZero() {
 		s.changedAt = now
 	}
@@ -152,10 +197,17 @@
 	return s
 }
 
-// WithAppended returns the state after a confirmed append that was sent at the given time.
-func (s State) WithAppended(a Append, end int64, sentAt time.Time) State {
+// WithAppended returns the state after a confirmed append that was sent at the given time. In another era than
+// that of the read before it, the append has met other records than those that were read, and the daemon must
+// read again.
+func (s State) WithAppended(a Append, end value.Position, sentAt time.Time) State {
+	if end.Era != s.end.Era {
+		return s.WithFailure(sentAt)
+	}
 	s.record, s.end, s.current = a.Record, end, true
 	s.changedAt, s.readAt = sentAt, sentAt
+	s.heldFence = a.Record.Fence
+	s.uncontestedUntil = sentAt.Add(s.fraction(takeoverFraction))
 	s.holdUntil = sentAt.Add(s.fraction(holdFraction))
 	s.renewAt = sentAt.Add(s.fraction(renewFraction))
 	return s
@@ -187,12 +239,16 @@
 	return s
 }
 
+// Uncontested reports whether this daemon was the last holder: no other can have seen its last renewal unchanged
+// for long enough to take over.
+func (s State) Uncontested(now time.Time) bool { return now.Before(s.uncontestedUntil) }
+
 // Holding returns the fencing number, and whether this daemon holds the lease.
 func (s State) Holding(now time.Time) (fence int64, ok bool) {
 	if !now.Before(s.holdUntil) {
 		return 0, false
 	}
-	return s.record.Fence, true
+	return s.heldFence, true
 }
 
 func (Read) action()   {}
--- a/decide/lease/lease_test.go
+++ b/decide/lease/lease_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"lentilstage.dev/decide/search"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -16,9 +17,13 @@
 	simulation struct {
 		now     time.Time
 		records []Record
-		daemons []*daemon
-		actions []act
-		delayed []delayedAppend
+		// era rises when the log is restored from a copy, of which copied is the length.
+		era      int64
+		copied   int
+		restores bool
+		daemons  []*daemon
+		actions  []act
+		delayed  []delayedAppend
 	}
 
 	daemon struct {
@@ -50,9 +55,16 @@
 // TestLeaseSearch guards against two holders that alternate within one lease, against two daemons that
 // send the same fencing number, and against a fencing number that decreases. Daemons pause at any point
 // between reading and appending, appends are lost or delayed, and processes restart.
-func TestLeaseSearch(t *testing.T) {
+func TestLeaseSearch(t *testing.T) { searchLease(t, false) }
+
+// TestRestoredLogSearch guards against the same failures while the log is restored from copies: the record of
+// the holder is lost, a former holder is named again, and an append without a response is applied at an offset
+// that was given out again.
+func TestRestoredLogSearch(t *testing.T) { searchLease(t, true) }
+
+func searchLease(t *testing.T, restores bool) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := &simulation{now: time.Unix(1000, 0)}
+		s := &simulation{now: time.Unix(1000, 0), restores: restores}
 		for i := range rapid.IntRange(2, 5).Draw(t, "daemons") {
 			s.daemons = append(s.daemons, newDaemon(fmt.Sprintf("entry-%d", i), 1))
 		}
@@ -83,7 +95,16 @@
 	if s.now.Before(d.pausedUntil) {
 		return
 	}
-	switch rapid.IntRange(0, 19).Draw(t, "event") {
+	switch rapid.IntRange(0, 23).Draw(t, "event") {
+	case 20:
+		if s.restores {
+			s.copied = len(s.records)
+		}
+	case 21:
+		// A copy without any record is left out: a daemon that starts cannot tell it from a new log.
+		if s.restores && s.copied > 0 {
+			s.records, s.era = s.records[:s.copied:s.copied], s.era+1
+		}
 	case 0:
 		d.pausedUntil = s.now.Add(time.Duration(rapid.IntRange(100, 8000).Draw(t, "pause")) * time.Millisecond)
 	case 1:
@@ -101,7 +122,7 @@
 		if len(s.records) > 0 {
 			record = s.records[len(s.records)-1]
 		}
-		d.state = d.state.WithRead(record, int64(len(s.records)), s.now)
+		d.state = d.state.WithRead(record, s.end(), s.now)
 	case Append:
 		sentAt := s.now
 		switch rapid.IntRange(0, 9).Draw(t, "answer") {
@@ -121,7 +142,7 @@
 			}
 			// The lease already runs while the response is in flight.
 			s.now = s.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "answerMS")) * time.Millisecond)
-			d.state = d.state.WithAppended(a, int64(len(s.records)), sentAt)
+			d.state = d.state.WithAppended(a, s.end(), sentAt)
 		}
 	}
 	if fence, ok := d.state.Holding(s.now); ok {
@@ -129,6 +150,11 @@
 	}
 }
 
+// end returns the position after the log's last record.
+func (s *simulation) end() value.Position {
+	return value.Position{Era: s.era, Offset: int64(len(s.records))}
+}
+
 func (s *simulation) append(a Append) bool {
 	if a.At != int64(len(s.records)) {
 		return false
@@ -169,12 +195,12 @@
 	for s.now.Before(end) {
 		switch a := d.state.Next(s.now).(type) {
 		case Read:
-			d.state = d.state.WithRead(s.records[len(s.records)-1], int64(len(s.records)), s.now)
+			d.state = d.state.WithRead(s.records[len(s.records)-1], s.end(), s.now)
 		case Append:
 			if !s.append(a) {
 				t.Fatal("append conflicts without another writer")
 			}
-			d.state = d.state.WithAppended(a, int64(len(s.records)), s.now)
+			d.state = d.state.WithAppended(a, s.end(), s.now)
 		}
 		if _, ok := d.state.Holding(s.now); ok {
 			return
--- a/entryd/relay/leader.go
+++ b/entryd/relay/leader.go
@@ -9,6 +9,7 @@
 
 	"lentilstage.dev/decide/lease"
 	"lentilstage.dev/decide/usage"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -25,7 +26,7 @@
 		// finalWindows holds the usage windows whose counts are final in the log, and sentWindows
 		// those that the platform has confirmed. Only the goroutine of run uses them.
 		finalWindows map[int64]usage.Counts
-		finalEnd     int64
+		finalEnd     value.Position
 		finalFence   int64
 		sentWindows  map[int64]bool
 	}
@@ -91,7 +92,10 @@
 		if !l.hasDuties() || l.daemon.draining.Load() || !l.daemon.tables.ready() || l.daemon.tables.followsOtherHub() {
 			return
 		}
-		l.stepLease(ctx)
+		if l.stepLease(ctx) {
+			// An append is due right after the read on which it depends.
+			l.stepLease(ctx)
+		}
 		if l.fence() > 0 && l.daemon.settings.ReportsUsage {
 			l.reportUsage(ctx)
 		}
@@ -109,8 +113,8 @@
 	return l.daemon.settings.ReportsUsage || l.daemon.settings.OrdersEndpoints || l.daemon.tables.hasRollouts()
 }
 
-// stepLease reads, takes or renews the lease if that is due.
-func (l *leader) stepLease(ctx context.Context) {
+// stepLease reads, takes or renews the lease if that is due. It reports whether it has read the lease.
+func (l *leader) stepLease(ctx context.Context) (read bool) {
 	l.mutex.Lock()
 	l.lease = l.lease.WithNote(l.capacityPlanner.encodedDemand())
 	action := l.lease.Next(l.daemon.clock.boot())
@@ -128,53 +132,58 @@
 			next = before.WithFailure(l.daemon.clock.boot())
 			break
 		}
-		next = before.WithRead(record, end, l.daemon.clock.boot())
+		next, read = before.WithRead(record, end, l.daemon.clock.boot()), true
 	case lease.Append:
-		value, err := json.Marshal(a.Record)
+		encoded, err := json.Marshal(a.Record)
 		if err != nil {
 			l.log("Lease can't be encoded.", "Error", err.Error())
-			return
+			return false
 		}
-		end, err := l.daemon.store.Append(ctx, Leases, a.At, leaseKey, value)
+		end, err := l.daemon.store.Append(ctx, Leases, a.At, leaseKey, encoded)
 		if err != nil {
 			l.log("Writing the lease failed.", "At", a.At, "Fence", a.Record.Fence, "Error", err.Error())
 			next = before.WithFailure(l.daemon.clock.boot())
 			break
 		}
-		next = before.WithAppended(a, end.Offset, sentAt)
-		if a.Record.Renewal == 0 {
-			l.log("Lease acquired.", "Fence", a.Record.Fence, "Note", a.Record.Note)
-			l.capacityPlanner.restoreDemand(a.Record.Note)
+		next = before.WithAppended(a, end, sentAt)
+		if a.Record.Renewal == 0 && end.Era == a.Record.Era {
+			continued := before.Uncontested(sentAt)
+			l.log("Lease acquired.", "Fence", a.Record.Fence, "Note", a.Record.Note, "Era", end.Era, "Continued", continued)
+			if !continued {
+				l.capacityPlanner.restoreDemand(a.Record.Note)
+			}
 		}
 	default:
-		return
+		return false
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.lease = next
+	return read
 }
 
-func (l *leader) readLease(ctx context.Context) (lease.Record, int64, error) {
+func (l *leader) readLease(ctx context.Context) (lease.Record, value.Position, error) {
 	var record lease.Record
 	end, err := l.readNewest(ctx, Leases, leaseKey, &record)
 	return record, end, err
 }
 
-// readNewest decodes the newest record of a key into value and returns the stream's end. Without such
-// a record value stays as it is.
-func (l *leader) readNewest(ctx context.Context, stream Stream, key string, value any) (int64, error) {
+// readNewest decodes the newest record of a key and returns the stream's end. Without such
+// a record the decoded value stays as it is.
+func (l *leader) readNewest(ctx context.Context, stream Stream, key string, decoded any) (value.Position, error) {
 	page, err := l.daemon.store.Newest(ctx, stream)
 	if err != nil {
-		return 0, err
+		return value.Position{}, err
 	}
+	l.daemon.observeEra(page.End.Era, "")
 	for _, r := range page.Records {
 		if r.Key == key {
-			if err := json.Unmarshal(r.Value, value); err != nil {
-				return 0, err
+			if err := json.Unmarshal(r.Value, decoded); err != nil {
+				return value.Position{}, err
 			}
 		}
 	}
-	return page.End.Offset, nil
+	return page.End, nil
 }
 
 // reportUsage writes the counts of ended windows to the log as final, then sends them to the
@@ -255,17 +264,17 @@
 			record.Windows[w] = c
 		}
 	}
-	value, err := json.Marshal(record)
+	encoded, err := json.Marshal(record)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	end, err := l.daemon.store.Append(ctx, Usage, l.finalEnd, usageKey, value)
+	end, err := l.daemon.store.Append(ctx, Usage, l.finalEnd.Offset, usageKey, encoded)
 	if err != nil {
 		return err
 	}
-	l.finalWindows, l.finalEnd = record.Windows, end.Offset
+	l.finalWindows, l.finalEnd = record.Windows, end
 	return nil
 }
 
