relay: windows of usage that were final stay final when the log is restored

The counts of a window are final once the log has them, and every holder reports the same. A restored log may have lost them: the holder counted anew, or the next holder did, and a window could be reported with two different counts. Change: a holder keeps the windows that it has made final in memory. The record has the era in which it was written. A holder that finds a record of an earlier era, and was not the last holder before, does not report the windows that have ended: their counts may have been sent. They are missing in the report, which costs less than two different ones. Evidence: TestRestoredLogKeepsUsageReports; without the memory it fails for the same holder, without the check for another one (3 and 4 requests reported for one window).

--- a/entryd/relay/leader.go
+++ b/entryd/relay/leader.go
@@ -29,11 +29,20 @@
 		finalEnd     value.Position
 		finalFence   int64
 		sentWindows  map[int64]bool
+		// lostBefore is the first window that no former holder can have reported with counts that a
+		// restored log has lost.
+		lostBefore int64
+		// continued is set if this daemon took the lease again as the last holder. checkedFence is the
+		// fencing number under which lostBefore was last determined.
+		continued    bool
+		checkedFence int64
 	}
 
-	// finalCounts is the record of the latest windows whose counts are final.
+	// finalCounts is the record of the latest windows whose counts are final. Era is the era of the log
+	// in which it was written.
 	finalCounts struct {
 		Windows map[int64]usage.Counts `json:"Windows"`
+		Era     int64                  `json:"Era,omitempty"`
 	}
 )
 
@@ -147,9 +156,9 @@
 		}
 		next = before.WithAppended(a, end, sentAt)
 		if a.Record.Renewal == 0 && end.Era == a.Record.Era {
-			continued := before.Uncontested(sentAt)
-			l.log("Lease acquired.", "Fence", a.Record.Fence, "Note", a.Record.Note, "Era", end.Era, "Continued", continued)
-			if !continued {
+			l.continued = before.Uncontested(sentAt)
+			l.log("Lease acquired.", "Fence", a.Record.Fence, "Note", a.Record.Note, "Era", end.Era, "Continued", l.continued)
+			if !l.continued {
 				l.capacityPlanner.restoreDemand(a.Record.Note)
 			}
 		}
@@ -194,7 +203,7 @@
 	now := d.clock.wallNow()
 	current := d.tables.window(now)
 	if l.finalFence != fence {
-		if err := l.readFinal(ctx); err != nil {
+		if err := l.readFinal(ctx, fence); err != nil {
 			l.log("Reading the final counts failed.", "Error", err.Error())
 			return
 		}
@@ -209,6 +218,9 @@
 			continue
 		}
 		counts, ok := l.finalWindows[window]
+		if !ok && window < l.lostBefore {
+			continue
+		}
 		if !ok {
 			if counts = d.tables.usageTotals(window); len(counts) == 0 {
 				continue
@@ -242,8 +254,8 @@
 	l.log("Usage reported.", "Window", window, "Fence", fence, "Counts", counts)
 }
 
-// readFinal reads the windows that are final.
-func (l *leader) readFinal(ctx context.Context) error {
+// readFinal reads the windows that are final, under the lease with a fencing number.
+func (l *leader) readFinal(ctx context.Context, fence int64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var record finalCounts
@@ -251,14 +263,32 @@
 	if err != nil {
 		return err
 	}
-	l.finalWindows, l.finalEnd = record.Windows, end
+	if fence != l.checkedFence && l.mayLackWindows(record, end) {
+		l.lostBefore = l.daemon.tables.window(l.daemon.clock.wallNow())
+		l.log("Usage windows may have been reported with counts that are lost.", "Before", l.lostBefore, "Era", end.Era, "Written", record.Era)
+	}
+	l.checkedFence = fence
+	windows := map[int64]usage.Counts{}
+	maps.Copy(windows, record.Windows)
+	// Windows that this daemon has made final itself stay so if a restored log has lost them.
+	maps.Copy(windows, l.finalWindows)
+	l.finalWindows, l.finalEnd = windows, end
 	return nil
 }
 
+// mayLackWindows reports whether a former holder may have made windows final that the record lacks: it was
+// written before the log was restored. The last holder knows them.
+func (l *leader) mayLackWindows(record finalCounts, end value.Position) bool {
+	if l.continued || record.Era == end.Era {
+		return false
+	}
+	return end.Offset > 0 || l.daemon.logRestored.Load()
+}
+
 // writeFinal writes the counts of a window as final. After an error the record must be read again,
 // since it may have been written.
 func (l *leader) writeFinal(ctx context.Context, window int64, counts usage.Counts) error {
-	record := finalCounts{Windows: map[int64]usage.Counts{window: counts}}
+	record := finalCounts{Windows: map[int64]usage.Counts{window: counts}, Era: l.finalEnd.Era}
 	for w, c := range l.finalWindows {
 		if w > window-keptFinalWindows {
 			record.Windows[w] = c
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -71,6 +71,8 @@
 		closing atomic.Bool
 		// era is the newest known era of the log; 0 if the log has not reported one.
 		era atomic.Int64
+		// logRestored is set once a new era of the log has begun in the lifetime of this process.
+		logRestored atomic.Bool
 		// membersRead is set once the daemons' records were read.
 		membersRead atomic.Bool
 		// operatorsUnreachable is set while the operators' stream can't be read.
--- /dev/null
+++ b/entryd/relay/restored_test.go
@@ -0,0 +1,160 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"lentilstage.dev/domain/value"
+)
+
+type (
+	// memoryLog is a log that can be restored from a copy.
+	memoryLog struct {
+		era     int64
+		streams map[Stream][]Record
+	}
+
+	// usageReport is a report that reached the platform.
+	usageReport struct {
+		holder string
+		window int64
+		count  int64
+	}
+
+	// dutyTest runs daemons that take turns as the lease holder, on one clock.
+	dutyTest struct {
+		t       *testing.T
+		now     time.Time
+		log     *memoryLog
+		reports []usageReport
+		// unconfirmed makes the platform accept reports without a response.
+		unconfirmed bool
+	}
+)
+
+// dutyStep is the pause between two steps of a daemon.
+const dutyStep = 200 * time.Millisecond
+
+func (l *memoryLog) end(stream Stream) value.Position {
+	return value.Position{Era: l.era, Offset: int64(len(l.streams[stream]))}
+}
+
+func (l *memoryLog) store() Store {
+	return Store{
+		Newest: func(_ context.Context, stream Stream) (Page, error) {
+			newest := map[string]Record{}
+			for _, r := range l.streams[stream] {
+				newest[r.Key] = r
+			}
+			return Page{Records: slices.Collect(maps.Values(newest)), End: l.end(stream)}, nil
+		},
+		Append: func(_ context.Context, stream Stream, at int64, key string, data []byte) (value.Position, error) {
+			end := l.end(stream)
+			if at != AnyOffset && at != end.Offset {
+				return value.Position{}, ErrConflict
+			}
+			l.streams[stream] = append(l.streams[stream], Record{Era: end.Era, Offset: end.Offset, Key: key, Value: data})
+			return l.end(stream), nil
+		},
+	}
+}
+
+// restore begins a new era with the records of a copy.
+func (l *memoryLog) restore(streams map[Stream][]Record) {
+	l.era++
+	l.streams = maps.Clone(streams)
+}
+
+// daemon returns a daemon that reports usage and has counted requests in the window of a time.
+func (dt *dutyTest) daemon(name string, requests int, at time.Time) *Daemon {
+	cloud := Cloud{ReportUsage: func(_ context.Context, m HeldLease, window int64, counts map[string]int64) error {
+		dt.reports = append(dt.reports, usageReport{holder: m.Holder, window: window, count: counts["counter"]})
+		if dt.unconfirmed {
+			return errors.New("no response")
+		}
+		return nil
+	}}
+	d, err := New(Settings{
+		Name: name, DataCentre: "a", Listen: "127.0.0.1:1", ReadyListen: "127.0.0.1:2", ReportsUsage: true,
+		Limits: Limits{
+			GracePeriod: time.Second, LeaseDuration: time.Second, RetryWindow: time.Second,
+			UsageWindow: 5 * time.Second, MaxUsageDelay: time.Minute,
+		},
+	}, dt.log.store(), cloud, Codec{})
+	if err != nil {
+		dt.t.Fatal(err)
+	}
+	d.clock.now, d.clock.boot = func() time.Time { return dt.now }, func() time.Time { return dt.now }
+	d.clock.wallClock.wall, d.clock.wallClock.boot = dt.now, dt.now
+	for range requests {
+		d.tables.countUsage("counter", at)
+	}
+	return d
+}
+
+// run lets a daemon act for a time.
+func (dt *dutyTest) run(d *Daemon, length time.Duration) {
+	for end := dt.now.Add(length); dt.now.Before(end); dt.now = dt.now.Add(dutyStep) {
+		if d.leader.stepLease(context.Background()) {
+			d.leader.stepLease(context.Background())
+		}
+		if d.leader.fence() > 0 {
+			d.leader.reportUsage(context.Background())
+		}
+	}
+}
+
+// counts returns the counts with which a window was reported.
+func (dt *dutyTest) counts(window int64) []int64 {
+	var counts []int64
+	for _, r := range dt.reports {
+		if r.window == window && !slices.Contains(counts, r.count) {
+			counts = append(counts, r.count)
+		}
+	}
+	return counts
+}
+
+// TestRestoredLogKeepsUsageReports guards against a window that is reported with two different counts because a
+// restored log has lost the counts that were final.
+func TestRestoredLogKeepsUsageReports(t *testing.T) {
+	t.Parallel()
+	for name, sameHolder := range map[string]bool{"same holder": true, "another holder": false} {
+		dt := &dutyTest{t: t, now: time.Unix(1000, 0), log: &memoryLog{era: 1, streams: map[Stream][]Record{}}}
+		counted := dt.now.Add(11 * time.Second)
+		first := dt.daemon("entry-1", 3, counted)
+		window := first.tables.window(counted)
+		// The copy has the counts of an earlier window.
+		first.tables.countUsage("counter", dt.now)
+		dt.run(first, 8*time.Second)
+		backup := maps.Clone(dt.log.streams)
+		dt.unconfirmed = true
+		dt.run(first, 9*time.Second)
+		if got := dt.counts(window); !slices.Equal(got, []int64{3}) {
+			t.Fatalf("%s: window reported with %v before the restoration", name, got)
+		}
+		dt.log.restore(backup)
+		holder := first
+		if sameHolder {
+			// A digest that arrives late changes the counts that are not final.
+			first.tables.countUsage("counter", counted)
+		} else {
+			holder = dt.daemon("entry-2", 4, counted)
+		}
+		dt.run(holder, 7*time.Second)
+		if got := dt.counts(window); !slices.Equal(got, []int64{3}) {
+			t.Errorf("%s: window reported with %v", name, got)
+		}
+		dt.unconfirmed = false
+		later := dt.now
+		holder.tables.countUsage("counter", later)
+		dt.run(holder, 8*time.Second)
+		if got := dt.counts(holder.tables.window(later)); !slices.Equal(got, []int64{1}) {
+			t.Errorf("%s: a window after the restoration was reported with %v", name, got)
+		}
+	}
+}
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -246,6 +246,7 @@
 		d.meters.setGauge("Log.Era", era)
 		if known > 0 {
 			// Records that the log had confirmed may be lost, and offsets are given out again.
+			d.logRestored.Store(true)
 			d.meters.count("Log.Restored")
 			d.logger.WithName("store").Info("Log was restored from a copy.", "Era", era, "Before", known, "From", from)
 		}
