relay: orders and verdicts of roll-outs survive a restored log

A restored log has the orders of its copy again and gives out the offsets of later ones: a former order could take effect once more, a new one at a lower offset was ignored, and a verdict that was lost was never written again, so that the operators would have found the roll-out in progress, or the verdict of the one before. Change: orders have positions with the era; a former order at its old offset is that of the copy. A verdict has the era in which it was written, daemons exchange it, and the lease holder writes it again in a new era.

--- a/entryd/relay/digest_test.go
+++ b/entryd/relay/digest_test.go
@@ -117,7 +117,7 @@
 		d := newTables(Settings{Name: "entry-2"}, "first")
 		d.startRollout(order, Record{Key: "pool", Offset: 5}, now)
 		d.observe(message{Daemon: "entry-1", Incarnation: "1", Outcomes: map[string]outcomes{"pool": o}}, now.Add(time.Second), now)
-		d.pendingVerdicts(now)
+		d.pendingVerdicts(0, now)
 		return d.rollouts["pool"]
 	}
 	if r := late(outcomes{Target: "v2", Good: 10, AgeMS: 8000}); r.state.Status(now) != shift.Completed {
@@ -129,7 +129,7 @@
 	d := newTables(Settings{Name: "entry-3"}, "first")
 	d.startRollout(order, Record{Key: "pool", Offset: 5}, now)
 	d.observe(message{Daemon: "entry-1", Incarnation: "1", Outcomes: map[string]outcomes{"pool": {Target: "v2", Ended: shift.RolledBack}}}, now.Add(time.Second), now)
-	if changed := d.pendingVerdicts(now); len(changed) != 0 || d.rollouts["pool"].state.RouteToNew(0) {
+	if changed := d.pendingVerdicts(0, now); len(changed) != 0 || d.rollouts["pool"].state.RouteToNew(0) {
 		t.Errorf("verdicts %v pending after a final one was published", changed)
 	}
 	if d.startRollout(Rollout{Service: "pool", Target: "v1"}, Record{Key: "pool", Offset: 4}, now) {
@@ -169,7 +169,7 @@
 	d.observe(report, now.Add(time.Second), now)
 	report.Daemon, report.Totals = "entry-3", &totals{Daemons: 3}
 	d.applyTotals(report, 0, now.Add(time.Second), now)
-	d.pendingVerdicts(now)
+	d.pendingVerdicts(0, now)
 	if d.rollouts["pool"].state.Stopped() {
 		t.Error("two bad outcomes stop the new version")
 	}
--- a/entryd/relay/leader.go
+++ b/entryd/relay/leader.go
@@ -119,7 +119,7 @@
 
 // hasDuties reports whether the platform or a roll-out needs a lease holder.
 func (l *leader) hasDuties() bool {
-	return l.daemon.settings.ReportsUsage || l.daemon.settings.OrdersEndpoints || l.daemon.tables.hasRollouts()
+	return l.daemon.settings.ReportsUsage || l.daemon.settings.OrdersEndpoints || l.daemon.tables.hasRollouts(l.daemon.era.Load())
 }
 
 // stepLease reads, takes or renews the lease if that is due. It reports whether it has read the lease.
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -103,6 +103,8 @@
 		// once it is published.
 		Stopped bool         `cbor:"5,keyasint,omitempty"`
 		Ended   shift.Status `cbor:"6,keyasint,omitempty"`
+		// EndedEra is the newest era of the log in which it was published.
+		EndedEra int64 `cbor:"8,keyasint,omitempty"`
 	}
 
 	// referral is what a message says about another daemon than its sender.
--- a/entryd/relay/restored_test.go
+++ b/entryd/relay/restored_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"lentilstage.dev/decide/shift"
 	"lentilstage.dev/domain/value"
 )
 
@@ -158,3 +159,57 @@
 		}
 	}
 }
+
+// TestRestoredLogKeepsRolloutOrder guards against an order of a roll-out that takes effect again because the copy
+// from which the log was restored has it, and against a new order that is ignored at a lower offset.
+func TestRestoredLogKeepsRolloutOrder(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	d := newTables(Settings{Name: "entry-1"}, "first")
+	order := func(target string) Rollout {
+		return Rollout{Service: "pool", Target: target, TimeLimit: 10 * time.Second}
+	}
+	for _, step := range []struct {
+		target      string
+		era, offset int64
+		want        bool
+	}{
+		{"v2", 1, 4, true},
+		{"v3", 1, 9, true},
+		{"v2", 2, 4, false},
+		{"v3", 2, 6, false},
+		{"v3", 1, 9, false},
+		{"v4", 2, 7, true},
+		{"v2", 3, 4, false},
+		{"v5", 3, 5, true},
+		{"v2", 3, 8, true},
+	} {
+		if got := d.startRollout(order(step.target), Record{Key: "rollout/pool", Era: step.era, Offset: step.offset}, now); got != step.want {
+			t.Errorf("order %s at offset %d of era %d takes effect: %v, want %v", step.target, step.offset, step.era, got, step.want)
+		}
+	}
+}
+
+// TestRestoredLogGetsVerdictAgain guards against a verdict that is not written again in a new era, or more than
+// once in each.
+func TestRestoredLogGetsVerdictAgain(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	order := Rollout{Service: "pool", Target: "v2", TimeLimit: 10 * time.Second}
+	d := newTables(Settings{Name: "entry-1"}, "first")
+	d.startRollout(order, Record{Key: "rollout/pool", Era: 1, Offset: 4}, now)
+	d.markPublished(order, shift.RolledBack, 1)
+	if got := d.pendingVerdicts(1, now); len(got) != 0 || d.hasRollouts(1) {
+		t.Errorf("verdicts %v pending in the era in which they were written", got)
+	}
+	if got := d.pendingVerdicts(2, now); got[order] != shift.RolledBack || !d.hasRollouts(2) {
+		t.Errorf("verdicts %v pending in a new era, want %s", got, shift.RolledBack)
+	}
+	other := newTables(Settings{Name: "entry-2"}, "first")
+	other.startRollout(order, Record{Key: "rollout/pool", Era: 1, Offset: 4}, now)
+	d.markPublished(order, shift.RolledBack, 2)
+	other.observe(message{Daemon: "entry-1", Incarnation: "1", Outcomes: d.ownMessage(now).Outcomes}, now.Add(time.Second), now)
+	if got := other.pendingVerdicts(2, now); len(got) != 0 {
+		t.Errorf("verdicts %v pending at a daemon that knows they were written", got)
+	}
+}
--- a/entryd/relay/rollout.go
+++ b/entryd/relay/rollout.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/decide/shift"
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -16,12 +18,17 @@
 	// the last one that was published.
 	rollout struct {
 		order    Rollout
-		offset   int64
-		state    shift.State
-		good     int64
-		bad      int64
-		evidence shift.Evidence
-		verdict  shift.Status
+		position value.Position
+		// superseded are the orders before this one. A log that is restored from a copy has one of them
+		// again.
+		superseded []supersededOrder
+		state      shift.State
+		good       int64
+		bad        int64
+		evidence   shift.Evidence
+		// verdictEra is the newest era of the log in which the verdict was written.
+		verdict    shift.Status
+		verdictEra int64
 		// comparing reports whether endpoints of both versions served when a request was last placed.
 		comparing bool
 		// logged are the outcomes of all daemons that were last logged, and loggedAt is when.
@@ -29,6 +36,11 @@
 		loggedAt time.Time
 	}
 
+	supersededOrder struct {
+		order  Rollout
+		offset int64
+	}
+
 	// rolloutEvidence is what is known of a roll-out, for the log.
 	rolloutEvidence struct {
 		service, target string
@@ -36,8 +48,12 @@
 	}
 )
 
-// evidenceInterval is the pause between two log lines with the outcomes of a roll-out.
-const evidenceInterval = 2 * time.Second
+const (
+	// evidenceInterval is the pause between two log lines with the outcomes of a roll-out.
+	evidenceInterval = 2 * time.Second
+	// maxSuperseded limits the former orders that are kept of a service.
+	maxSuperseded = 16
+)
 
 // applyRolloutRecord applies an operators' record that may order a roll-out.
 func (d *Daemon) applyRolloutRecord(r Record) {
@@ -58,13 +74,23 @@
 func (t *tables) startRollout(order Rollout, record Record, now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if known, ok := t.rollouts[order.Service]; ok && (known.order == order || record.Offset <= known.offset) {
-		return false
+	started := &rollout{order: order, position: record.Position(), state: shift.New(order.Target, now.Add(order.TimeLimit), now)}
+	if known, ok := t.rollouts[order.Service]; ok {
+		if known.order == order {
+			known.position = value.Furthest(known.position, started.position)
+			return false
+		}
+		former := supersededOrder{order: order, offset: record.Offset}
+		if !known.position.Before(started.position) || record.Era > known.position.Era && slices.Contains(known.superseded, former) {
+			return false
+		}
+		started.superseded = append(slices.Clone(known.superseded), supersededOrder{order: known.order, offset: known.position.Offset})
+		if extra := len(started.superseded) - maxSuperseded; extra > 0 {
+			started.superseded = started.superseded[extra:]
+		}
 	}
 	t.records[Operators][record.Key] = record
-	t.rollouts[order.Service] = &rollout{
-		order: order, offset: record.Offset, state: shift.New(order.Target, now.Add(order.TimeLimit), now),
-	}
+	t.rollouts[order.Service] = started
 	return true
 }
 
@@ -74,7 +100,7 @@
 		Target: r.order.Target, Good: r.good, Bad: r.bad, Evidence: r.evidence, AgeMS: r.state.Age(now).Milliseconds(), Stopped: r.state.Stopped(),
 	}
 	if r.ended() {
-		o.Ended = r.verdict
+		o.Ended, o.EndedEra = r.verdict, r.verdictEra
 	}
 	return o
 }
@@ -90,6 +116,7 @@
 	if o.Ended == "" {
 		o.Ended = other.Ended
 	}
+	o.EndedEra = max(o.EndedEra, other.EndedEra)
 	return o
 }
 
@@ -168,26 +195,32 @@
 		r.state = r.state.Stop()
 	}
 	if sum.Ended != "" && !r.ended() {
-		r.setVerdict(sum.Ended)
+		r.setVerdict(sum.Ended, sum.EndedEra)
 	}
+	r.verdictEra = max(r.verdictEra, sum.EndedEra)
 }
 
-// setVerdict records a published verdict.
-func (r *rollout) setVerdict(v shift.Status) {
-	r.verdict = v
+// setVerdict records a verdict that was published in an era of the log.
+func (r *rollout) setVerdict(v shift.Status, era int64) {
+	r.verdict, r.verdictEra = v, era
 	if v == shift.RolledBack {
 		r.state = r.state.Stop()
 	}
 }
 
-// pendingVerdicts returns the roll-outs with a verdict that is not published yet.
-func (t *tables) pendingVerdicts(now time.Time) map[Rollout]shift.Status {
+// pendingVerdicts returns the roll-outs with a verdict that is not published yet in the present era of the
+// log. A verdict that was published before may be lost since; a final one never changes.
+func (t *tables) pendingVerdicts(era int64, now time.Time) map[Rollout]shift.Status {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	changed := map[Rollout]shift.Status{}
 	for _, r := range t.rollouts {
 		t.mergeOutcomes(r, now)
-		if v := r.state.Status(now); v != r.verdict && !r.ended() {
+		v := r.state.Status(now)
+		if r.ended() {
+			v = r.verdict
+		}
+		if v != r.verdict || r.verdictEra < era {
 			changed[r.order] = v
 		}
 	}
@@ -197,20 +230,21 @@
 // publishRollouts writes the verdicts for the operators. Only the lease holder calls it.
 func (l *leader) publishRollouts(ctx context.Context) {
 	d := l.daemon
-	for order, verdict := range d.tables.pendingVerdicts(d.clock.now()) {
-		key, value, err := d.codec.RolloutStatus(order, verdict)
+	for order, verdict := range d.tables.pendingVerdicts(d.era.Load(), d.clock.now()) {
+		key, encoded, err := d.codec.RolloutStatus(order, verdict)
 		if err != nil {
 			l.log("Status can't be encoded.", "Service", order.Service, "Error", err.Error())
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err = d.store.Append(call, Status, AnyOffset, key, value)
+		end, err := d.store.Append(call, Status, AnyOffset, key, encoded)
 		cancel()
 		if err != nil {
 			l.log("Writing the status failed.", "Service", order.Service, "Verdict", verdict, "Error", err.Error())
 			continue
 		}
-		d.tables.markPublished(order, verdict)
+		d.observeEra(end.Era, "")
+		d.tables.markPublished(order, verdict, end.Era)
 		l.log("Status written.", append([]any{"Service", order.Service, "Target", order.Target, "Verdict", verdict}, d.tables.evidenceFields(order.Service)...)...)
 	}
 }
@@ -261,23 +295,23 @@
 	}
 }
 
-// hasRollouts reports whether a roll-out has no published final verdict.
-func (t *tables) hasRollouts() bool {
+// hasRollouts reports whether a roll-out has no final verdict that was published in the present era of the log.
+func (t *tables) hasRollouts(era int64) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, r := range t.rollouts {
-		if !r.ended() {
+		if !r.ended() || r.verdictEra < era {
 			return true
 		}
 	}
 	return false
 }
 
-// markPublished records a verdict that this daemon has published.
-func (t *tables) markPublished(order Rollout, v shift.Status) {
+// markPublished records a verdict that this daemon has published in an era of the log.
+func (t *tables) markPublished(order Rollout, v shift.Status, era int64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if r, ok := t.rollouts[order.Service]; ok && r.order == order {
-		r.setVerdict(v)
+		r.setVerdict(v, era)
 	}
 }
