members: a daemon writes its record again when the log was restored

A restored log may have lost the records of daemons that have started since the copy; a daemon that starts next would not have found them for up to 30 s. Change: the record is written again in each new era. Not shown by a test of its own.

--- a/entryd/relay/members.go
+++ b/entryd/relay/members.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lentilstage.dev/decide/hubs"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -167,12 +168,14 @@
 // maintainMembers writes this daemon's record to the log and reads the others'.
 func (d *Daemon) maintainMembers(ctx context.Context) error {
 	var writtenAt, readAt time.Time
+	var writtenEra int64
 	reads := 0
 	maintain := func() {
 		now := d.clock.now()
-		if writtenAt.IsZero() || now.Sub(writtenAt) > memberRecordInterval {
-			if err := d.writeMember(ctx); err == nil {
-				writtenAt = now
+		// A log that was restored from a copy may have lost the record.
+		if era := d.era.Load(); writtenAt.IsZero() || now.Sub(writtenAt) > memberRecordInterval || era > writtenEra {
+			if end, err := d.writeMember(ctx); err == nil {
+				writtenAt, writtenEra = now, max(era, end.Era)
 			}
 		}
 		interval := d.members.readInterval()
@@ -201,18 +204,17 @@
 	return every(ctx, maintainInterval, maintain)
 }
 
-func (d *Daemon) writeMember(ctx context.Context) error {
+func (d *Daemon) writeMember(ctx context.Context) (value.Position, error) {
 	var record hubs.Member
 	d.members.use(func(s *hubs.State) { record = s.Self().Member })
 	record.At = d.clock.wallNow()
-	value, err := json.Marshal(record)
+	encoded, err := json.Marshal(record)
 	if err != nil {
-		return err
+		return value.Position{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, readSlack)
 	defer cancel()
-	_, err = d.store.Append(ctx, Daemons, AnyOffset, d.settings.Name, value)
-	return err
+	return d.store.Append(ctx, Daemons, AnyOffset, d.settings.Name, encoded)
 }
 
 func (d *Daemon) readMembers(ctx context.Context) error {
