--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -243,11 +243,11 @@
 		if !d.era.CompareAndSwap(known, era) {
 			continue
 		}
-		d.meters.setGauge("Log.Era", era)
+		d.meters.setGauge("Store.Era", era)
 		if known > 0 {
 			// Records that the log had confirmed may be lost, and offsets are given out again.
 			d.logRestored.Store(true)
-			d.meters.count("Log.Restored")
+			d.meters.count("Store.Restored")
 			d.logger.WithName("store").Info("Log was restored from a copy.", "Era", era, "Before", known, "From", from)
 		}
 	}
