--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -1,6 +1,10 @@
 // Package roster tracks the endpoints that are registered in the platform's log.
 //
-// Each endpoint's records are applied in offset order: a stale page or a late record has no effect.
+// Each endpoint's records are applied in the order of their positions: a stale page or a late record has no
+// effect. When the log is restored from a copy, the records of the copy appear again in a new era, older than
+// what is known. In a new era a record is therefore applied only if its process or its sequence number is
+// newer, and a record that is missing is treated as after an outage.
+//
 // While the log is unavailable, registrations expire although their endpoints may be alive. A missing
 // record is therefore ignored during the outage and for a grace period after it; an endpoint whose
 // record is still missing then is removed. A record with the state Leaving takes effect immediately.
@@ -13,7 +17,7 @@
 // # Usage
 //
 //	state := roster.New()
-//	state, changes := state.Update(roster.Put{Offset: 7, Endpoint: endpoint, Now: now})
+//	state, changes := state.Update(roster.Put{Position: value.Position{Era: 1, Offset: 7}, Endpoint: endpoint, Now: now})
 //	state, changes = state.Update(roster.Tick{Now: now})
 //	for _, e := range state.Endpoints() { ... }
 //
@@ -27,6 +31,7 @@
 	"time"
 
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -37,22 +42,22 @@
 
 	// Put carries a record of one endpoint.
 	Put struct {
-		Offset   int64
+		Position value.Position
 		Endpoint setup.Endpoint
 		Now      time.Time
 	}
 
 	// Deleted reports that an endpoint's record was deleted or cannot be decoded.
 	Deleted struct {
-		Offset int64
-		ID     string
-		Now    time.Time
+		Position value.Position
+		ID       string
+		Now      time.Time
 	}
 
 	// Removed reports that another daemon has removed the endpoint.
 	Removed struct {
-		Offset int64
-		ID     string
+		Position value.Position
+		ID       string
 	}
 
 	// LeavingAnnounced reports that the process of an endpoint has said in a response that it is leaving.
@@ -68,10 +73,10 @@
 		Now      time.Time
 	}
 
-	// Listed reports a full listing of the records up to the offset End. An endpoint that has an
+	// Listed reports a full listing of the records up to the position End. An endpoint that has an
 	// older record and is not in IDs was deleted.
 	Listed struct {
-		End int64
+		End value.Position
 		IDs []string
 		Now time.Time
 	}
@@ -105,6 +110,8 @@
 	// State holds the registered endpoints.
 	State struct {
 		entries map[string]entry
+		// era is the newest era of the log in which a record was written.
+		era int64
 		// logDown is set while the log is unavailable; graceUntil is when the grace period ends.
 		logDown    bool
 		graceUntil time.Time
@@ -112,7 +119,7 @@
 
 	entry struct {
 		endpoint setup.Endpoint
-		offset   int64
+		position value.Position
 		present  bool
 		// missing reports that the record was deleted while the endpoint may be alive; the endpoint
 		// is removed at graceUntil.
@@ -140,10 +147,10 @@
 	// Gone means that the endpoint was removed.
 	Gone Reason = "Gone"
 
-	// reregisterGrace is how long live endpoints take to register again after an outage of the log.
-	// The platform specifies about two seconds.
+	// reregisterGrace is how long live endpoints take to register again after an outage of the log or
+	// its restoration. The platform specifies about two seconds.
 	reregisterGrace = 2 * time.Second
-	// maxDeleted is the maximum number of removed entries kept to reject records with older offsets.
+	// maxDeleted is the maximum number of removed entries kept to reject older records.
 	// All of them are discarded when it is exceeded.
 	maxDeleted = 512
 )
@@ -155,20 +162,21 @@
 func (s State) Update(message Message) (State, []Change) {
 	switch m := message.(type) {
 	case Put:
-		return s.put(m)
+		return s.withEra(m.Position.Era, m.Now).put(m)
 	case Deleted:
+		s = s.withEra(m.Position.Era, m.Now)
 		e, ok := s.entries[m.ID]
-		if !ok || m.Offset <= e.offset {
+		if !ok || !e.position.Before(m.Position) {
 			return s, nil
 		}
-		e.offset = m.Offset
+		e.position = m.Position
 		return s.missing(m.ID, e, m.Now)
 	case Removed:
 		e, ok := s.entries[m.ID]
-		if !ok || !e.present || m.Offset < e.offset {
+		if !ok || !e.present || m.Position.Before(e.position) {
 			return s, nil
 		}
-		e.offset, e.present, e.missing = m.Offset, false, false
+		e.position, e.present, e.missing = m.Position, false, false
 		s.entries[m.ID] = e
 		return s, []Change{{Endpoint: e.endpoint, Reason: Gone}}
 	case LeavingAnnounced:
@@ -176,7 +184,7 @@
 	case Rejected:
 		return s.reject(m)
 	case Listed:
-		return s.listed(m)
+		return s.withEra(m.End.Era, m.Now).listed(m)
 	case LogLost:
 		s.logDown = true
 	case LogRecovered:
@@ -193,12 +201,24 @@
 	return s, nil
 }
 
+// withEra begins the grace period of a new era: the log may lack the registrations of live endpoints.
+func (s State) withEra(era int64, now time.Time) State {
+	if era <= s.era {
+		return s
+	}
+	if len(s.entries) > 0 {
+		s.graceUntil = value.Later(s.graceUntil, now.Add(reregisterGrace))
+	}
+	s.era = era
+	return s
+}
+
 func (s State) put(m Put) (State, []Change) {
 	old, exists := s.entries[m.Endpoint.ID]
-	if exists && m.Offset <= old.offset {
+	if exists && !old.accepts(m) {
 		return s, nil
 	}
-	e := entry{endpoint: m.Endpoint, offset: m.Offset, present: true}
+	e := entry{endpoint: m.Endpoint, position: m.Position, present: true}
 	if exists && old.endpoint.SameProcess(m.Endpoint) {
 		e.announced, e.rejectsUntil = old.announced, old.rejectsUntil
 	}
@@ -255,6 +275,15 @@
 	return endpoint
 }
 
+// accepts reports whether a record is newer than the one that is known. In a new era it may come from the
+// copy from which the log was restored, so that its position says nothing.
+func (e entry) accepts(m Put) bool {
+	if m.Position.Era > e.position.Era {
+		return m.Endpoint.After(e.endpoint)
+	}
+	return e.position.Before(m.Position)
+}
+
 // missing removes an entry without a record, or marks it as missing during an outage of the log
 // and its grace period.
 func (s State) missing(id string, e entry, now time.Time) (State, []Change) {
@@ -279,9 +308,11 @@
 	}
 	var changes []Change
 	for id, e := range s.entries {
-		if listed[id] || e.offset >= m.End || !e.present {
+		if listed[id] || !e.position.Before(m.End) || !e.present {
 			continue
 		}
+		// Without this, a registration in the new era would have to be newer than one that it repeats.
+		e.position = value.Position{Era: m.End.Era, Offset: m.End.Offset - 1}
 		var change []Change
 		s, change = s.missing(id, e, m.Now)
 		changes = append(changes, change...)
@@ -330,12 +361,10 @@
 // RejectsUntil returns when an endpoint takes requests of this daemon again; zero if it always did.
 func (s State) RejectsUntil(id string) time.Time { return s.entries[id].rejectsUntil }
 
-// Offset returns the offset of the endpoint's newest record, or -1 if the endpoint is unknown.
-func (s State) Offset(id string) int64 {
-	if e, ok := s.entries[id]; ok {
-		return e.offset
-	}
-	return -1
+// Position returns the position of the endpoint's newest record, and whether the endpoint is known.
+func (s State) Position(id string) (value.Position, bool) {
+	e, ok := s.entries[id]
+	return e.position, ok
 }
 
 func (Put) message()              {}
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"lentilstage.dev/domain/setup"
-
 	"lentilstage.dev/decide/cases"
+	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -31,6 +31,8 @@
 		Until    float64  `yaml:"Until"`
 		List     []string `yaml:"List"`
 		Offset   int64    `yaml:"Offset"`
+		Era      int64    `yaml:"Era"`
+		Sequence int64    `yaml:"Sequence"`
 		End      int64    `yaml:"End"`
 		State    string   `yaml:"State"`
 		Born     int64    `yaml:"Born"`
@@ -87,16 +89,16 @@
 }
 
 func (s step) message() Message {
-	now := at(s.At)
+	now, position := at(s.At), value.Position{Era: s.Era, Offset: s.Offset}
 	switch {
 	case s.Put != "":
 		state := setup.Ready
 		if s.State != "" {
 			state = setup.State(s.State)
 		}
-		return Put{Offset: s.Offset, Now: now, Endpoint: setup.Endpoint{ID: s.Put, State: state, StartedAtMS: s.Born}}
+		return Put{Position: position, Now: now, Endpoint: setup.Endpoint{ID: s.Put, State: state, StartedAtMS: s.Born, Sequence: s.Sequence}}
 	case s.Drop != "":
-		return Deleted{Offset: s.Offset, ID: s.Drop, Now: now}
+		return Deleted{Position: position, ID: s.Drop, Now: now}
 	case s.Announce != "":
 		return LeavingAnnounced{Endpoint: setup.Endpoint{ID: s.Announce, StartedAtMS: s.Born}}
 	case s.Reject != "":
@@ -108,5 +110,5 @@
 	case s.Elapsed:
 		return Tick{Now: now}
 	}
-	return Listed{End: s.End, IDs: s.List, Now: now}
+	return Listed{End: value.Position{Era: s.Era, Offset: s.End}, IDs: s.List, Now: now}
 }
--- a/entryd/relay/leader.go
+++ b/entryd/relay/leader.go
@@ -9,6 +9,7 @@
 
 	"lentilstage.dev/decide/lease"
 	"lentilstage.dev/decide/usage"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -25,14 +26,23 @@
 		// finalWindows holds the usage windows whose counts are final in the log, and sentWindows
 		// those that the platform has confirmed. Only the goroutine of run uses them.
 		finalWindows map[int64]usage.Counts
-		finalEnd     int64
+		finalEnd     value.Position
 		finalFence   int64
 		sentWindows  map[int64]bool
+		// lostBefore is the first window that no former holder can have reported with counts that a
+		// restored log has lost.
+		lostBefore int64
+		// continued is set if this daemon took the lease again as the last holder. checkedFence is the
+		// fencing number under which lostBefore was last determined.
+		continued    bool
+		checkedFence int64
 	}
 
-	// finalCounts is the record of the latest windows whose counts are final.
+	// finalCounts is the record of the latest windows whose counts are final. Era is the era of the log
+	// in which it was written.
 	finalCounts struct {
 		Windows map[int64]usage.Counts `json:"Windows"`
+		Era     int64                  `json:"Era,omitempty"`
 	}
 )
 
@@ -91,7 +101,10 @@
 		if !l.hasDuties() || l.daemon.draining.Load() || !l.daemon.tables.ready() || l.daemon.tables.followsOtherHub() {
 			return
 		}
-		l.stepLease(ctx)
+		if l.stepLease(ctx) {
+			// An append is due right after the read on which it depends.
+			l.stepLease(ctx)
+		}
 		if l.fence() > 0 && l.daemon.settings.ReportsUsage {
 			l.reportUsage(ctx)
 		}
@@ -106,11 +119,11 @@
 
 // hasDuties reports whether the platform or a roll-out needs a lease holder.
 func (l *leader) hasDuties() bool {
-	return l.daemon.settings.ReportsUsage || l.daemon.settings.OrdersEndpoints || l.daemon.tables.hasRollouts()
+	return l.daemon.settings.ReportsUsage || l.daemon.settings.OrdersEndpoints || l.daemon.tables.hasRollouts(l.daemon.era.Load())
 }
 
-// stepLease reads, takes or renews the lease if that is due.
-func (l *leader) stepLease(ctx context.Context) {
+// stepLease reads, takes or renews the lease if that is due. It reports whether it has read the lease.
+func (l *leader) stepLease(ctx context.Context) (read bool) {
 	l.mutex.Lock()
 	l.lease = l.lease.WithNote(l.capacityPlanner.encodedDemand())
 	action := l.lease.Next(l.daemon.clock.boot())
@@ -128,49 +141,54 @@
 			next = before.WithFailure(l.daemon.clock.boot())
 			break
 		}
-		next = before.WithRead(record, end, l.daemon.clock.boot())
+		next, read = before.WithRead(record, end, l.daemon.clock.boot()), true
 	case lease.Append:
-		value, err := json.Marshal(a.Record)
+		encoded, err := json.Marshal(a.Record)
 		if err != nil {
 			l.log("Lease can't be encoded.", "Error", err.Error())
-			return
+			return false
 		}
-		end, err := l.daemon.store.Append(ctx, Leases, a.At, leaseKey, value)
+		end, err := l.daemon.store.Append(ctx, Leases, a.At, leaseKey, encoded)
 		if err != nil {
 			l.log("Writing the lease failed.", "At", a.At, "Fence", a.Record.Fence, "Error", err.Error())
 			next = before.WithFailure(l.daemon.clock.boot())
 			break
 		}
 		next = before.WithAppended(a, end, sentAt)
-		if a.Record.Renewal == 0 {
-			l.log("Lease acquired.", "Fence", a.Record.Fence, "Note", a.Record.Note)
-			l.capacityPlanner.restoreDemand(a.Record.Note)
+		if a.Record.Renewal == 0 && end.Era == a.Record.Era {
+			l.continued = before.Uncontested(sentAt)
+			l.log("Lease acquired.", "Fence", a.Record.Fence, "Note", a.Record.Note, "Era", end.Era, "Continued", l.continued)
+			if !l.continued {
+				l.capacityPlanner.restoreDemand(a.Record.Note)
+			}
 		}
 	default:
-		return
+		return false
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.lease = next
+	return read
 }
 
-func (l *leader) readLease(ctx context.Context) (lease.Record, int64, error) {
+func (l *leader) readLease(ctx context.Context) (lease.Record, value.Position, error) {
 	var record lease.Record
 	end, err := l.readNewest(ctx, Leases, leaseKey, &record)
 	return record, end, err
 }
 
-// readNewest decodes the newest record of a key into value and returns the stream's end. Without such
-// a record value stays as it is.
-func (l *leader) readNewest(ctx context.Context, stream Stream, key string, value any) (int64, error) {
+// readNewest decodes the newest record of a key and returns the stream's end. Without such
+// a record the decoded value stays as it is.
+func (l *leader) readNewest(ctx context.Context, stream Stream, key string, decoded any) (value.Position, error) {
 	page, err := l.daemon.store.Newest(ctx, stream)
 	if err != nil {
-		return 0, err
+		return value.Position{}, err
 	}
+	l.daemon.observeEra(page.End.Era, "")
 	for _, r := range page.Records {
 		if r.Key == key {
-			if err := json.Unmarshal(r.Value, value); err != nil {
-				return 0, err
+			if err := json.Unmarshal(r.Value, decoded); err != nil {
+				return value.Position{}, err
 			}
 		}
 	}
@@ -185,7 +203,7 @@
 	now := d.clock.wallNow()
 	current := d.tables.window(now)
 	if l.finalFence != fence {
-		if err := l.readFinal(ctx); err != nil {
+		if err := l.readFinal(ctx, fence); err != nil {
 			l.log("Reading the final counts failed.", "Error", err.Error())
 			return
 		}
@@ -200,6 +218,9 @@
 			continue
 		}
 		counts, ok := l.finalWindows[window]
+		if !ok && window < l.lostBefore {
+			continue
+		}
 		if !ok {
 			if counts = d.tables.usageTotals(window); len(counts) == 0 {
 				continue
@@ -233,8 +254,8 @@
 	l.log("Usage reported.", "Window", window, "Fence", fence, "Counts", counts)
 }
 
-// readFinal reads the windows that are final.
-func (l *leader) readFinal(ctx context.Context) error {
+// readFinal reads the windows that are final, under the lease with a fencing number.
+func (l *leader) readFinal(ctx context.Context, fence int64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var record finalCounts
@@ -242,26 +263,44 @@
 	if err != nil {
 		return err
 	}
-	l.finalWindows, l.finalEnd = record.Windows, end
+	if fence != l.checkedFence && l.mayLackWindows(record, end) {
+		l.lostBefore = l.daemon.tables.window(l.daemon.clock.wallNow())
+		l.log("Usage windows may have been reported with counts that are lost.", "Before", l.lostBefore, "Era", end.Era, "Written", record.Era)
+	}
+	l.checkedFence = fence
+	windows := map[int64]usage.Counts{}
+	maps.Copy(windows, record.Windows)
+	// Windows that this daemon has made final itself stay so if a restored log has lost them.
+	maps.Copy(windows, l.finalWindows)
+	l.finalWindows, l.finalEnd = windows, end
 	return nil
 }
 
+// mayLackWindows reports whether a former holder may have made windows final that the record lacks: it was
+// written before the log was restored. The last holder knows them.
+func (l *leader) mayLackWindows(record finalCounts, end value.Position) bool {
+	if l.continued || record.Era == end.Era {
+		return false
+	}
+	return end.Offset > 0 || l.daemon.logRestored.Load()
+}
+
 // writeFinal writes the counts of a window as final. After an error the record must be read again,
 // since it may have been written.
 func (l *leader) writeFinal(ctx context.Context, window int64, counts usage.Counts) error {
-	record := finalCounts{Windows: map[int64]usage.Counts{window: counts}}
+	record := finalCounts{Windows: map[int64]usage.Counts{window: counts}, Era: l.finalEnd.Era}
 	for w, c := range l.finalWindows {
 		if w > window-keptFinalWindows {
 			record.Windows[w] = c
 		}
 	}
-	value, err := json.Marshal(record)
+	encoded, err := json.Marshal(record)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	end, err := l.daemon.store.Append(ctx, Usage, l.finalEnd, usageKey, value)
+	end, err := l.daemon.store.Append(ctx, Usage, l.finalEnd.Offset, usageKey, encoded)
 	if err != nil {
 		return err
 	}
