lsbench: engines take their fixed time to the first token

Change: the engine spec has FirstMS; a request is queued when that time has passed. TestFirstTokens replays testdata/first_tokens.yaml; two of its four cases fail without the delay.

--- a/lsbench/engine.go
+++ b/lsbench/engine.go
@@ -19,6 +19,8 @@
 		stepping   bool
 		running    []*job
 		queue      []*job
+		// preparing holds the requests that are not queued yet, in the order of their arrival.
+		preparing []*job
 		// usedTokens is the memory reserved by running requests, cachedTokens that of cached
 		// prefixes. recent lists the cached sessions, the most recently used first.
 		usedTokens, cachedTokens int
@@ -59,9 +61,26 @@
 	}
 }
 
-// enqueue queues a request by rank, lowest first, and starts a step if the engine is idle. onFirst
-// runs at the first event and onDone at the end.
+// enqueue queues a request when the fixed part of the time to its first token has passed. onFirst runs
+// at the first event and onDone at the end.
 func (e *engine) enqueue(j *job) {
+	if e.spec.FirstMS == 0 {
+		e.insert(j)
+		return
+	}
+	e.preparing = append(e.preparing, j)
+	e.after(fromMilliseconds(e.spec.FirstMS), func() {
+		if e.removed {
+			return
+		}
+		// All requests are prepared for the same time, so the first one is j.
+		e.preparing = e.preparing[1:]
+		e.insert(j)
+	})
+}
+
+// insert inserts a request into the queue by rank, lowest first, and starts a step if the engine is idle.
+func (e *engine) insert(j *job) {
 	at := len(e.queue)
 	for at > 0 && e.queue[at-1].rank > j.rank {
 		at--
@@ -73,8 +92,8 @@
 // remove removes the engine and returns its unfinished requests.
 func (e *engine) remove() []*job {
 	e.removed = true
-	lost := slices.Concat(e.running, e.queue)
-	e.running, e.queue = nil, nil
+	lost := slices.Concat(e.running, e.queue, e.preparing)
+	e.running, e.queue, e.preparing = nil, nil, nil
 	return lost
 }
 
--- a/lsbench/load.go
+++ b/lsbench/load.go
@@ -31,6 +31,8 @@
 		// of prompt tokens that the engine reads (prefills) per millisecond.
 		StepMS    float64 `json:"StepMS"`
 		ReadPerMS float64 `json:"ReadPerMS"`
+		// FirstMS is the fixed part of the time to the first token in milliseconds.
+		FirstMS float64 `json:"FirstMS,omitempty"`
 	}
 
 	// arrival is one admitted request with the inputs of the decisions.
@@ -107,8 +109,8 @@
 // check returns errLoad if the load cannot be replayed.
 func (l load) check(path string) error {
 	e := l.Engine
-	if e.Slots < 1 || e.Memory < 1 || e.StepMS <= 0 || e.ReadPerMS <= 0 {
-		return eris.Wrapf(errLoad, "%s: engine spec %+v: all values must be positive", path, e)
+	if e.Slots < 1 || e.Memory < 1 || e.StepMS <= 0 || e.ReadPerMS <= 0 || e.FirstMS < 0 {
+		return eris.Wrapf(errLoad, "%s: engine spec %+v: FirstMS must not be negative, and all other values must be positive", path, e)
 	}
 	if len(l.Arrivals) == 0 || len(l.Changes) == 0 {
 		return eris.Wrapf(errLoad, "%s: %d arrivals and %d endpoint changes; at least one of each is needed", path, len(l.Arrivals), len(l.Changes))
--- a/lsbench/record.go
+++ b/lsbench/record.go
@@ -85,6 +85,7 @@
 	f.IntVar(&c.spec.Memory, "memory", 370_000, "tokens that an engine's memory holds")
 	f.Float64Var(&c.spec.StepMS, "step", 3.4, "time of a step in ms")
 	f.Float64Var(&c.spec.ReadPerMS, "read", 44.2, "prompt tokens that an engine reads in a ms")
+	f.Float64Var(&c.spec.FirstMS, "first", 0, "fixed part of the time to the first token in ms")
 }
 
 // Execute reads the log from standard input and writes the load file.
--- a/lsbench/replay_test.go
+++ b/lsbench/replay_test.go
@@ -33,6 +33,18 @@
 		Reading float64 `yaml:"Reading"`
 		Cached  int     `yaml:"Cached"`
 	}
+
+	// firstTokens holds the expected times of the first tokens at an engine, in milliseconds.
+	firstTokens struct {
+		Name    string  `yaml:"Name"`
+		FirstMS float64 `yaml:"FirstMS"`
+		Prompts []int   `yaml:"Prompts"`
+		// RemoveMS is when the engine is removed, 0 for never.
+		RemoveMS float64   `yaml:"RemoveMS"`
+		Want     []float64 `yaml:"Want"`
+		// WantLost is the expected number of requests that are lost with the engine.
+		WantLost int `yaml:"WantLost"`
+	}
 )
 
 // recordedLoads are parts of benchmark days, recorded from the logs of daemons with -verbose. They
@@ -159,6 +171,29 @@
 	}
 }
 
+// TestFirstTokens guards against a model that omits the fixed part of the time to the first token, or that
+// loses sight of a request whose engine is removed during it.
+func TestFirstTokens(t *testing.T) {
+	for _, c := range cases.Load[firstTokens](t, "testdata/first_tokens.yaml") {
+		line := newTimeline()
+		e := newEngine(line, engineSpec{Slots: 4, Memory: 10_000, StepMS: 4, ReadPerMS: 50, FirstMS: c.FirstMS}, "engine-1", "a")
+		var firsts []float64
+		for _, prompt := range c.Prompts {
+			e.enqueue(&job{prompt: prompt, answer: 1, onDone: func() {}, onFirst: func() {
+				firsts = append(firsts, float64(line.elapsed().Microseconds())/1000)
+			}})
+		}
+		lost := 0
+		if c.RemoveMS > 0 {
+			line.after(fromMilliseconds(c.RemoveMS), func() { lost = len(e.remove()) })
+		}
+		line.runUntil(time.Second)
+		if !slices.Equal(firsts, c.Want) || lost != c.WantLost {
+			t.Errorf("%s: first tokens at %v ms and %d lost, want %v and %d", c.Name, firsts, lost, c.Want, c.WantLost)
+		}
+	}
+}
+
 // TestRecord guards against a recorded load that lacks requests or endpoints, or that includes those
 // of another service or period.
 func TestRecord(t *testing.T) {
