lsbench: the exchange is modelled at the sizes of the sites, repeatably

The model only knew data centres of equal size, at 30, 100, 300 and 392 daemons, and a run depended on the iteration order of maps, which decides which message is lost: three runs with one seed differed. Daemons are now spread evenly over the data centres and messages are sent in the order of names.

--- a/lsbench/exchange.go
+++ b/lsbench/exchange.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -24,8 +26,9 @@
 	exchangePolicy string
 
 	exchangeScenario struct {
-		policy           exchangePolicy
-		centres, each    int
+		policy exchangePolicy
+		// The daemons are spread evenly over the data centres.
+		daemons, centres int
 		endpoints        int
 		lossPercent      int
 		measured, warmUp time.Duration
@@ -51,11 +54,12 @@
 
 	exchangeDaemon struct {
 		name, centre string
-		index        int
-		state        *hubs.State
-		down         bool
-		nextAt       time.Time
-		heartbeatAt  time.Time
+		// number is that of the data centre, index that of the daemon among all.
+		number, index int
+		state         *hubs.State
+		down          bool
+		nextAt        time.Time
+		heartbeatAt   time.Time
 		// known holds the time of the newest information on each daemon that has arrived here.
 		known     []time.Time
 		followers map[string]time.Time
@@ -90,7 +94,7 @@
 
 // Synopsis returns a one-line description.
 func (*exchangeCommand) Synopsis() string {
-	return "compare ways to exchange loads between 30 to 390 daemons"
+	return "compare ways to exchange loads between 8 to 392 daemons"
 }
 
 // Usage returns the subcommand's usage.
@@ -104,10 +108,12 @@
 // Execute runs all scenarios and prints their table.
 func (c *exchangeCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	rows := [][]string{row("daemons", "endpoints", "way", "messages/s", "at a hub", "B/s", "at a hub", "age ms", "95 in 100", "hub lost, ms")}
-	for _, size := range []struct{ centres, each, endpoints int }{{3, 10, 60}, {5, 20, 200}, {5, 60, 600}, {4, 98, 600}} {
+	for _, size := range []struct{ daemons, centres, endpoints int }{
+		{8, 3, 18}, {31, 3, 62}, {83, 3, 140}, {99, 3, 198}, {295, 5, 600}, {392, 4, 600},
+	} {
 		for _, policy := range []exchangePolicy{hubSums, allHubs, fanOut} {
 			s := exchangeScenario{
-				policy: policy, centres: size.centres, each: size.each, endpoints: size.endpoints, lossPercent: 1,
+				policy: policy, daemons: size.daemons, centres: size.centres, endpoints: size.endpoints, lossPercent: 1,
 				warmUp: 4 * time.Second, measured: 4 * time.Second,
 			}
 			r := runExchange(s, c.seed)
@@ -115,7 +121,7 @@
 			if r.hubLoss > 0 {
 				hubLoss = fmt.Sprint(r.hubLoss.Milliseconds())
 			}
-			rows = append(rows, row(size.centres*size.each, size.endpoints, policy, r.followerMessages, r.hubMessages,
+			rows = append(rows, row(size.daemons, size.endpoints, policy, r.followerMessages, r.hubMessages,
 				r.followerBytes, r.hubBytes, 1000*r.meanAge, 1000*r.oldAge, hubLoss))
 		}
 	}
@@ -125,14 +131,17 @@
 	return subcommands.ExitSuccess
 }
 
+// firstOf returns the index of the first daemon of a data centre.
+func (s exchangeScenario) firstOf(centre int) int { return centre * s.daemons / s.centres }
+
 // runExchange runs a scenario: a warm-up, a measured time, and the loss of a hub.
 func runExchange(s exchangeScenario, seed uint64) exchangeResult {
-	m := &exchangeModel{exchangeScenario: s, random: newRandom(seed, "exchange", s.centres*s.each), now: time.Unix(1000, 0)}
+	m := &exchangeModel{exchangeScenario: s, random: newRandom(seed, "exchange", s.daemons), now: time.Unix(1000, 0)}
 	for c := range s.centres {
-		for i := range s.each {
+		for i := range s.firstOf(c+1) - s.firstOf(c) {
 			m.daemons = append(m.daemons, &exchangeDaemon{
-				name: fmt.Sprintf("entry-%d-%d", c, i), centre: fmt.Sprint("centre-", c), index: len(m.daemons),
-				known: make([]time.Time, s.centres*s.each), followers: map[string]time.Time{},
+				name: fmt.Sprintf("entry-%d-%d", c, i), centre: fmt.Sprint("centre-", c), number: c, index: len(m.daemons),
+				known: make([]time.Time, s.daemons), followers: map[string]time.Time{},
 				nextAt: m.now.Add(time.Duration(m.random.IntN(300)) * time.Millisecond),
 			})
 		}
@@ -196,7 +205,7 @@
 // hubOf returns the hub that a daemon uses.
 func (m *exchangeModel) hubOf(d *exchangeDaemon) *exchangeDaemon {
 	if m.policy != hubSums {
-		return m.daemons[d.index/m.each*m.each]
+		return m.daemons[m.firstOf(d.number)]
 	}
 	hub, _ := d.state.Hub(m.now)
 	return m.byName(hub.Name)
@@ -205,7 +214,7 @@
 func (m *exchangeModel) byName(name string) *exchangeDaemon {
 	var centre, number int
 	_, _ = fmt.Sscanf(name, "entry-%d-%d", &centre, &number)
-	return m.daemons[centre*m.each+number]
+	return m.daemons[m.firstOf(centre)+number]
 }
 
 func (m *exchangeModel) run(length time.Duration, measure bool) {
@@ -268,15 +277,15 @@
 
 // ofCentre returns the information that a hub has on its data centre.
 func (m *exchangeModel) ofCentre(d *exchangeDaemon) []time.Time {
-	first := d.index / m.each * m.each
-	part := make([]time.Time, first+m.each)
-	copy(part[first:], d.known[first:first+m.each])
+	first, end := m.firstOf(d.number), m.firstOf(d.number+1)
+	part := make([]time.Time, end)
+	copy(part[first:], d.known[first:end])
 	return part
 }
 
 func (m *exchangeModel) sendByHubs(d *exchangeDaemon) {
 	d.state.UpdateSelf(false, 1, m.now, m.now)
-	referrals := d.state.Referrals(m.now)
+	referrals := sortedReports(d.state.Referrals(m.now))
 	base := messageBytes + referralBytes*len(referrals)
 	deliver := func(to *exchangeDaemon, size int, known []time.Time) bool {
 		if !m.send(d, to, size, known) {
@@ -294,12 +303,12 @@
 			to.followers[d.name] = m.now.Add(exchangeFollowTTL)
 		}
 	} else {
-		for _, t := range d.state.SumTargets(m.now) {
-			deliver(m.byName(t.Name), base+min(m.each*openRequests, m.endpoints, maxSumLoads)*loadBytes+2*uses, m.ofCentre(d))
+		for _, t := range sortedReports(d.state.SumTargets(m.now)) {
+			deliver(m.byName(t.Name), base+min((m.firstOf(d.number+1)-m.firstOf(d.number))*openRequests, m.endpoints, maxSumLoads)*loadBytes+2*uses, m.ofCentre(d))
 		}
 	}
-	for name, until := range d.followers {
-		if m.now.After(until) {
+	for _, name := range slices.Sorted(maps.Keys(d.followers)) {
+		if m.now.After(d.followers[name]) {
 			delete(d.followers, name)
 			continue
 		}
@@ -312,6 +321,13 @@
 	}
 }
 
+// sortedReports sorts reports by name. decide/hubs returns them in the order of a map, which would decide
+// which message is lost.
+func sortedReports(reports []hubs.Report) []hubs.Report {
+	slices.SortFunc(reports, func(a, b hubs.Report) int { return cmp.Compare(a.Name, b.Name) })
+	return reports
+}
+
 // sendToAllHubs sends the messages of the former protocol.
 func (m *exchangeModel) sendToAllHubs(d *exchangeDaemon) {
 	const (
@@ -327,10 +343,10 @@
 		}
 	}
 	for c := range m.centres {
-		m.send(d, m.daemons[c*m.each], messageBytes+openRequests*loadBytes+accounts*useBytes, m.own(d))
+		m.send(d, m.daemons[m.firstOf(c)], messageBytes+openRequests*loadBytes+accounts*useBytes, m.own(d))
 	}
 	if m.hubOf(d) == d {
-		for _, to := range m.daemons[d.index+1 : d.index+m.each] {
+		for _, to := range m.daemons[d.index+1 : m.firstOf(d.number+1)] {
 			m.send(d, to, messageBytes+m.endpoints*loadBytes+2*accounts*useBytes, d.known)
 		}
 	}
