--- a/lsbench/replay.go
+++ b/lsbench/replay.go
@@ -95,6 +95,7 @@
 // baselinePolicies are the policies with which the current one is compared.
 var baselinePolicies = []replayPolicy{
 	recordedPolicy,
+	{name: "all compared, long queues", pick: pickFromAll, admit: admitLongQueue},
 	{name: "no refusals", pick: choice.Pick, admit: admitAlways},
 	{name: "fewest requests", pick: pickFewest, admit: admitAlways},
 	{name: "fewest, refuse full", pick: pickFewest, admit: func(_ admit.Request, p choice.Picked, _ time.Time) bool { return p.HasCapacity }},
@@ -111,6 +112,11 @@
 	}
 	// choice.Pick adds the cost of a moved prefix only to requests with shared tokens.
 	r.Shared = 0
+	return pickFromAll(r, candidates, random)
+}
+
+// pickFromAll always compares all candidates.
+func pickFromAll(r choice.Request, candidates []choice.Candidate, random func() float64) (choice.Picked, bool) {
 	r.Admits = func(choice.Picked) bool { return false }
 	return choice.Pick(r, candidates, random)
 }
