poison: crashes of many endpoints within a second quarantine their part

Twelve endpoints crashed from 7.30 to 8.14 s, and no daemon quarantined the part before 11.80 s, after four more. Cause: a part's crashes count by instants, so that the loss of a data centre counts once, but only the eight newest crashes are kept. Twelve within 0.8 s leave eight at two instants, and the older instants are forgotten: the more endpoints crash at once, the longer it takes. Crashes that other daemons reported were not added either once eight were known. Now a crash at the same instant as an earlier one is left out first, so that instants are kept, and explained() takes crashes that may have been left out into account.

--- a/decide/poison/evidence.go
+++ b/decide/poison/evidence.go
@@ -140,8 +140,8 @@
 	for part, crashes := range other.Crashes {
 		known := e.Crashes[part].At
 		for endpoint, at := range crashes.At {
-			if _, recorded := known[endpoint]; !recorded && len(known) < maxCrashes && now.Sub(at) <= crashWindow &&
-				at.After(answered(part)) && !at.Before(answered(endpoint)) {
+			if _, recorded := known[endpoint]; !recorded && now.Sub(at) <= crashWindow &&
+				at.After(answered(part)) && !at.Before(answered(endpoint)) && keeps(known, endpoint, at) {
 				return true
 			}
 		}
@@ -274,7 +274,13 @@
 	return count
 }
 
-// addCrash records the first attempt with the part that an endpoint broke off. The newest crashes are kept.
+// hasInstant reports whether a crash at the given time would count as one with a crash that is not later.
+func (c PartCrashes) hasInstant(at time.Time) bool {
+	return containsEntry(c.At, func(_ Key, other time.Time) bool { return !at.Before(other) && at.Sub(other) <= sameInstant })
+}
+
+// addCrash records the first attempt with the part that an endpoint broke off. Of more than maxCrashes,
+// surplus is left out.
 func (e Evidence) addCrash(part Key, depth int, endpoint Key, at time.Time) {
 	crashes, known := e.Crashes[part]
 	if !known && len(e.Crashes) >= maxSuspects {
@@ -289,11 +295,38 @@
 	}
 	times[endpoint] = at
 	if len(times) > maxCrashes {
-		delete(times, oldest(times))
+		delete(times, surplus(times))
 	}
 	e.Crashes[part] = PartCrashes{Depth: max(depth, crashes.Depth), At: times}
 }
 
+// surplus returns the endpoint whose crash is left out when there are too many: the oldest one at the same
+// instant as an earlier one, or the oldest. If the oldest were left out always, a part that crashes many
+// endpoints in a few bursts would never have crashes at MinCrashes instants.
+func surplus(times map[Key]time.Time) Key {
+	endpoints := slices.SortedFunc(maps.Keys(times), func(a, b Key) int {
+		return cmp.Or(times[a].Compare(times[b]), cmp.Compare(a, b))
+	})
+	counted := times[endpoints[0]]
+	for _, endpoint := range endpoints[1:] {
+		if times[endpoint].Sub(counted) <= sameInstant {
+			return endpoint
+		}
+		counted = times[endpoint]
+	}
+	return endpoints[0]
+}
+
+// keeps reports whether the crash of another endpoint would be kept beside the given ones.
+func keeps(times map[Key]time.Time, endpoint Key, at time.Time) bool {
+	if len(times) < maxCrashes {
+		return true
+	}
+	all := maps.Clone(times)
+	all[endpoint] = at
+	return surplus(all) != endpoint
+}
+
 // evict removes the part whose crashes are the oldest among those with the fewest.
 func (e Evidence) evict() {
 	least := slices.MinFunc(slices.Collect(maps.Keys(e.Crashes)), func(a, b Key) int {
--- a/decide/poison/poison.go
+++ b/decide/poison/poison.go
@@ -327,17 +327,16 @@
 		if len(others.At) == 0 {
 			continue
 		}
-		// Crashes before the oldest one that is kept may have been those of the quarantined part too.
-		kept := time.Time{}
-		if len(others.At) >= maxCrashes {
-			kept = others.first()
+		// Crashes that are left out when there are too many may have been those of the quarantined part too.
+		leftOut := func(at time.Time) bool {
+			return len(others.At) >= maxCrashes && (at.Before(others.first()) || others.hasInstant(at))
 		}
 		common := func(endpoint Key, _ time.Time) bool {
 			_, found := others.At[endpoint]
 			return found
 		}
 		another := func(endpoint Key, at time.Time) bool {
-			return !common(endpoint, at) && !at.Before(kept) && now.Sub(at) >= reportDelay
+			return !common(endpoint, at) && !leftOut(at) && now.Sub(at) >= reportDelay
 		}
 		if crashes := e.Crashes[part].At; containsEntry(crashes, common) && !containsEntry(crashes, another) {
 			return true
