relay: changes of endpoints fit the link of a hub, and those that leave go first

Cause: a change of more than 60 endpoints goes out as several datagrams of 17 KB, each to up to 64 daemons at once. Class of fault: a message of a size that nobody had put beside the link's. Endpoints that leave or are gone are in the first message of a change. Failed writes are counted.

--- a/entryd/relay/control.go
+++ b/entryd/relay/control.go
@@ -1,14 +1,17 @@
 package relay
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -87,13 +90,27 @@
 		s = s.differing(hashes, d.tables.hashes(d.clock.now()))
 	}
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(s); err != nil {
+	if err := writeSnapshot(w, r, s); err != nil {
 		d.logger.WithName("control").Info("Snapshot not sent.", "Error", err.Error())
 		return
 	}
 	d.meters.count("Snapshots.Sent")
 }
 
+// writeSnapshot sends a snapshot, compressed if the receiver accepts that: registrations are alike, and all
+// followers of a hub may ask for them at once.
+func writeSnapshot(w http.ResponseWriter, r *http.Request, s snapshot) error {
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		return json.NewEncoder(w).Encode(s)
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	compressor, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		return err
+	}
+	return errors.Join(json.NewEncoder(compressor).Encode(s), compressor.Close())
+}
+
 // snapshot returns the records that this daemon knows. End is the offset up to which endpoint records
 // were read, since the records of endpoints that are gone are left out.
 func (d *Daemon) snapshot() snapshot {
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -11,10 +12,12 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/s2"
 	"github.com/rotisserie/eris"
 
 	"lentilstage.dev/decide/hubs"
 	"lentilstage.dev/decide/roster"
+	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/domain/value"
 )
 
@@ -43,6 +46,14 @@
 	maxDatagramBytes = 60 << 10
 	// acknowledgementBytes is the length of the acknowledged sequence number before the message.
 	acknowledgementBytes = 8
+	// minCompressedBytes is the size from which messages with records are compressed; it fits into one packet.
+	// When a fleet is replaced, a hub sends each of its followers dozens of records at once: uncompressed
+	// they fill a link of 20 Mbit/s for seconds, and datagrams are lost.
+	minCompressedBytes = 1200
+	// compressedMark precedes a compressed message. No CBOR value begins with it.
+	compressedMark = 0xff
+	// maxMessageBytes limits a decompressed message.
+	maxMessageBytes = 1 << 20
 	// maxForwardedBytes limits the operators' records in a datagram.
 	maxForwardedBytes = 48 << 10
 	// maxChangesPerMessage limits the endpoints in a message; a record has some hundred bytes.
@@ -122,7 +133,11 @@
 	if len(data) < acknowledgementBytes {
 		return m, 0, eris.Errorf("datagram of %d bytes", len(data))
 	}
-	if err := cbor.Unmarshal(data[acknowledgementBytes:], &m); err != nil {
+	body, err := decompress(data[acknowledgementBytes:])
+	if err != nil {
+		return m, 0, err
+	}
+	if err := cbor.Unmarshal(body, &m); err != nil {
 		return m, 0, eris.Wrap(err, "decode datagram")
 	}
 	if m.Daemon == "" {
@@ -136,6 +151,19 @@
 	return m, int64(binary.BigEndian.Uint64(data)), nil
 }
 
+// decompress returns the message in the body of a datagram.
+func decompress(body []byte) ([]byte, error) {
+	if len(body) == 0 || body[0] != compressedMark {
+		return body, nil
+	}
+	length, err := s2.DecodedLen(body[1:])
+	if err != nil || length > maxMessageBytes {
+		return nil, eris.Errorf("compressed message of %d bytes, %d at most", length, maxMessageBytes)
+	}
+	message, err := s2.Decode(nil, body[1:])
+	return message, eris.Wrap(err, "decompress datagram")
+}
+
 // handle applies a message to the daemon's state.
 func (g *gossip) handle(m message, acknowledged int64, from string) {
 	d := g.daemon
@@ -333,6 +361,11 @@
 // other hubs too.
 func (g *gossip) sendChanges(changes []roster.Change) {
 	targets := g.recipients()
+	// The first of several messages is the least likely to be lost: a request must not go to an endpoint that
+	// leaves, but it may go to another one than a new one.
+	changes = slices.SortedStableFunc(slices.Values(changes), func(a, b roster.Change) int {
+		return cmp.Compare(withdrawal(b), withdrawal(a))
+	})
 	for part := range slices.Chunk(changes, maxChangesPerMessage) {
 		g.sendTo(targets, func() message { return g.daemon.tables.changesMessage(part) })
 	}
@@ -343,6 +376,14 @@
 	return message{Operators: records, OperatorsEra: next.Era, OperatorsFrom: from.Offset, OperatorsNext: next.Offset}
 }
 
+// withdrawal returns 1 for a change that takes an endpoint out of use, and 0 for another one.
+func withdrawal(c roster.Change) int {
+	if c.Reason == roster.Gone || c.Endpoint.State == setup.Leaving {
+		return 1
+	}
+	return 0
+}
+
 // sendOperators forwards operators' records that this daemon has read. Others read records that don't
 // fit into a datagram themselves.
 func (g *gossip) sendOperators(from, next value.Position, records []Record) {
@@ -421,6 +462,9 @@
 		d.logger.WithName("gossip").Error(err, "Message can't be encoded.")
 		return nil
 	}
+	if len(m.Put)+len(m.Operators) > 0 && len(body) > minCompressedBytes {
+		body = append([]byte{compressedMark}, s2.Encode(nil, body)...)
+	}
 	return append(make(datagram, acknowledgementBytes, acknowledgementBytes+len(body)), body...)
 }
 
@@ -437,7 +481,10 @@
 	}
 	binary.BigEndian.PutUint64(data, uint64(acknowledged))
 	// A datagram that can't be sent counts as lost; the next message repeats it.
-	_, _ = conn.WriteToUDPAddrPort(data, address)
+	if _, err := conn.WriteToUDPAddrPort(data, address); err != nil {
+		g.daemon.meters.count("Digests.Unsent")
+		return
+	}
 	g.daemon.meters.count("Digests.Sent")
 	g.daemon.meters.add("Digests.SentBytes", int64(len(data)))
 }
