relay: a holder that has not read the final counts does not report them as the last holder

A daemon that took the lease and never read the final counts counted as the last holder after a restoration, and a holder's finding that counts may be lost was gone with it: in both cases a window could be reported with two counts. Change: a tenure is continued only if the counts were read under the one before it; the first window that can't be lost is part of the record.

--- a/decide/lease/lease.go
+++ b/decide/lease/lease.go
@@ -243,6 +243,9 @@
 // for long enough to take over.
 func (s State) Uncontested(now time.Time) bool { return now.Before(s.uncontestedUntil) }
 
+// LastFence returns the fencing number under which this process last held the lease; 0 if it never did.
+func (s State) LastFence() int64 { return s.heldFence }
+
 // Holding returns the fencing number, and whether this daemon holds the lease.
 func (s State) Holding(now time.Time) (fence int64, ok bool) {
 	if !now.Before(s.holdUntil) {
--- a/entryd/relay/leader.go
+++ b/entryd/relay/leader.go
@@ -32,17 +32,18 @@
 		// lostBefore is the first window that no former holder can have reported with counts that a
 		// restored log has lost.
 		lostBefore int64
-		// continued is set if this daemon took the lease again as the last holder. checkedFence is the
-		// fencing number under which lostBefore was last determined.
-		continued    bool
-		checkedFence int64
+		// checkedFence is the fencing number under which lostBefore was last determined, continuedFence the
+		// one under which this daemon took the lease again as the last holder after that.
+		checkedFence   int64
+		continuedFence int64
 	}
 
 	// finalCounts is the record of the latest windows whose counts are final. Era is the era of the log
-	// in which it was written.
+	// in which it was written, LostBefore the first window whose counts the log can't have lost.
 	finalCounts struct {
-		Windows map[int64]usage.Counts `json:"Windows"`
-		Era     int64                  `json:"Era,omitempty"`
+		Windows    map[int64]usage.Counts `json:"Windows"`
+		Era        int64                  `json:"Era,omitempty"`
+		LostBefore int64                  `json:"LostBefore,omitempty"`
 	}
 )
 
@@ -156,9 +157,12 @@
 		}
 		next = before.WithAppended(a, end, sentAt)
 		if a.Record.Renewal == 0 && end.Era == a.Record.Era {
-			l.continued = before.Uncontested(sentAt)
-			l.log("Lease acquired.", "Fence", a.Record.Fence, "Note", a.Record.Note, "Era", end.Era, "Continued", l.continued)
-			if !l.continued {
+			continued := before.Uncontested(sentAt)
+			if continued && l.checkedFence == before.LastFence() {
+				l.continuedFence = a.Record.Fence
+			}
+			l.log("Lease acquired.", "Fence", a.Record.Fence, "Note", a.Record.Note, "Era", end.Era, "Continued", continued)
+			if !continued {
 				l.capacityPlanner.restoreDemand(a.Record.Note)
 			}
 		}
@@ -263,7 +267,8 @@
 	if err != nil {
 		return err
 	}
-	if fence != l.checkedFence && l.mayLackWindows(record, end) {
+	l.lostBefore = max(l.lostBefore, record.LostBefore)
+	if fence != l.checkedFence && fence != l.continuedFence && l.mayLackWindows(record, end) {
 		l.lostBefore = l.daemon.tables.window(l.daemon.clock.wallNow())
 		l.log("Usage windows may have been reported with counts that are lost.", "Before", l.lostBefore, "Era", end.Era, "Written", record.Era)
 	}
@@ -277,9 +282,9 @@
 }
 
 // mayLackWindows reports whether a former holder may have made windows final that the record lacks: it was
-// written before the log was restored. The last holder knows them.
+// written before the log was restored.
 func (l *leader) mayLackWindows(record finalCounts, end value.Position) bool {
-	if l.continued || record.Era == end.Era {
+	if record.Era == end.Era {
 		return false
 	}
 	return end.Offset > 0 || l.daemon.logRestored.Load()
@@ -288,7 +293,7 @@
 // writeFinal writes the counts of a window as final. After an error the record must be read again,
 // since it may have been written.
 func (l *leader) writeFinal(ctx context.Context, window int64, counts usage.Counts) error {
-	record := finalCounts{Windows: map[int64]usage.Counts{window: counts}, Era: l.finalEnd.Era}
+	record := finalCounts{Windows: map[int64]usage.Counts{window: counts}, Era: l.finalEnd.Era, LostBefore: l.lostBefore}
 	for w, c := range l.finalWindows {
 		if w > window-keptFinalWindows {
 			record.Windows[w] = c
--- a/entryd/relay/restored_test.go
+++ b/entryd/relay/restored_test.go
@@ -213,3 +213,77 @@
 		t.Errorf("verdicts %v pending at a daemon that knows they were written", got)
 	}
 }
+
+// TestLostWindowsStayUnreported guards against a window that is reported with two counts: the holder that found that
+// its counts may be lost has a successor, which finds a record of the present era.
+func TestLostWindowsStayUnreported(t *testing.T) {
+	t.Parallel()
+	for _, delay := range []time.Duration{10 * time.Second, 20 * time.Second} {
+		dt := &dutyTest{t: t, now: time.Unix(1000, 0), log: &memoryLog{era: 1, streams: map[Stream][]Record{}}}
+		site := func(d *Daemon) *Daemon { d.settings.Limits.MaxUsageDelay = delay; return d }
+		counted := dt.now.Add(6 * time.Second)
+		first := site(dt.daemon("entry-1", 3, counted))
+		window := first.tables.window(counted)
+		first.tables.countUsage("counter", dt.now)
+		dt.run(first, 8*time.Second)
+		backup := maps.Clone(dt.log.streams)
+		dt.run(first, 3800*time.Millisecond)
+		if got := dt.counts(window); !slices.Equal(got, []int64{3}) {
+			t.Fatalf("window reported with %v before the restoration", got)
+		}
+		dt.log.restore(backup)
+		second := site(dt.daemon("entry-2", 4, counted))
+		second.tables.countUsage("counter", time.Unix(1014, 0))
+		usage := len(dt.log.streams[Usage])
+		for len(dt.log.streams[Usage]) == usage && dt.now.Before(time.Unix(1030, 0)) {
+			dt.run(second, dutyStep)
+		}
+		if got := dt.counts(window); !slices.Equal(got, []int64{3}) {
+			t.Fatalf("window reported with %v by the second holder", got)
+		}
+		again := site(dt.daemon("entry-2", 4, counted))
+		dt.run(again, 4*time.Second)
+		if got := dt.counts(window); !slices.Equal(got, []int64{3}) {
+			t.Errorf("delay %v: window reported with %v", delay, got)
+		}
+	}
+}
+
+// TestContinuedHolderHasReadItsWindows guards against a daemon that takes the lease again as its last holder, had never
+// read the final counts, and reports a window with counts of its own.
+func TestContinuedHolderHasReadItsWindows(t *testing.T) {
+	t.Parallel()
+	dt := &dutyTest{t: t, now: time.Unix(1000, 0), log: &memoryLog{era: 1, streams: map[Stream][]Record{}}}
+	counted := dt.now.Add(time.Second)
+	first := dt.daemon("entry-1", 3, counted)
+	window := first.tables.window(counted)
+	dt.run(first, 3*time.Second)
+	backup := maps.Clone(dt.log.streams)
+	dt.run(first, 4*time.Second)
+	if got := dt.counts(window); !slices.Equal(got, []int64{3}) {
+		t.Fatalf("window reported with %v before the restoration", got)
+	}
+	second := dt.daemon("entry-2", 4, counted)
+	newest := second.store.Newest
+	second.store.Newest = func(ctx context.Context, s Stream) (Page, error) {
+		if s == Usage {
+			return Page{}, errors.New("away")
+		}
+		return newest(ctx, s)
+	}
+	for second.leader.fence() == 0 {
+		dt.run(second, dutyStep)
+	}
+	appendTo := second.store.Append
+	second.store.Append = func(context.Context, Stream, int64, string, []byte) (value.Position, error) {
+		return value.Position{}, errors.New("away")
+	}
+	second.store.Newest = func(context.Context, Stream) (Page, error) { return Page{}, errors.New("away") }
+	dt.run(second, 600*time.Millisecond)
+	dt.log.restore(backup)
+	second.store.Append, second.store.Newest = appendTo, newest
+	dt.run(second, 3*time.Second)
+	if got := dt.counts(window); !slices.Equal(got, []int64{3}) {
+		t.Errorf("window reported with %v", got)
+	}
+}
