roster, relay: an outage before a new era does not end its grace period

After an outage of less than 2.5 s every daemon took it for its own alone, since other daemons had read the log that short a time before; that ended the grace period of the new era at once, and endpoints that had registered since the copy were removed until they registered again. Callers of a service whose endpoints are all new would have got 503. Change: the return of the log only extends the grace period, and an outage is the daemon's own only if another one has read the log in between.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -190,7 +190,8 @@
 	case LogRecovered:
 		if s.logDown {
 			s.logDown = false
-			s.graceUntil = m.Now
+			// The grace period of a new era goes on.
+			s.graceUntil = value.Later(s.graceUntil, m.Now)
 			if !m.OnlyThisDaemon {
 				s.graceUntil = m.Now.Add(reregisterGrace)
 			}
--- a/entryd/relay/freshness.go
+++ b/entryd/relay/freshness.go
@@ -229,11 +229,11 @@
 }
 
 // reachableByPeers reports whether other daemons have read the log without a gap between the two
-// times.
+// times, and between them.
 func (f *freshness) reachableByPeers(since, now time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return now.Sub(f.peerReadAt) < maxPeerReadGap && !f.peerReadSince.After(since)
+	return now.Sub(f.peerReadAt) < maxPeerReadGap && f.peerReadAt.After(since) && !f.peerReadSince.After(since)
 }
 
 // recordVersion records a configuration version that a daemon has reported.
--- a/entryd/relay/freshness_test.go
+++ b/entryd/relay/freshness_test.go
@@ -33,6 +33,20 @@
 	}
 }
 
+// TestShortOutageOfAllDaemons guards against a daemon that takes an outage of all daemons for its own, since it is
+// shorter than the gap between two reads may be, and removes endpoints before they could register again.
+func TestShortOutageOfAllDaemons(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newFreshness(func(time.Time) uint64 { return 0 })
+	for i := range 10 {
+		f.recordPeerRead(now.Add(time.Duration(i) * 700 * time.Millisecond))
+	}
+	last := now.Add(6300 * time.Millisecond)
+	if f.reachableByPeers(last.Add(100*time.Millisecond), last.Add(2100*time.Millisecond)) {
+		t.Error("an outage of 2 s of all daemons counts as one of this daemon only")
+	}
+}
+
 // TestHubTellsOnlyReadsItHas guards against followers that go on with an old configuration and with
 // endpoints that have left: their hub has missed what the reader sent, can't read the log itself, and
 // passes on that the reader's read is recent.
