relay: a daemon reads everything in each era in which it reads the log itself

A daemon whose hub had listed a new era read on from the hub's position when it became the hub itself. What the restored log had lost, such as an endpoint that left after the copy, shows in a full read only and would have stayed. Evidence: TestReaderListsEachEra, one full read in two eras before.

--- a/entryd/relay/restored_test.go
+++ b/entryd/relay/restored_test.go
@@ -287,3 +287,35 @@
 		t.Errorf("window reported with %v", got)
 	}
 }
+
+// TestReaderListsEachEra guards against a daemon that goes on reading in an era that others have listed for it: what
+// the restored log has lost shows in a full read only, so that an endpoint that is gone would stay.
+func TestReaderListsEachEra(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	d := newTestDaemon(t, &now)
+	listings, end := 0, value.Position{Era: 1, Offset: 40}
+	d.store = Store{
+		Newest: func(context.Context, Stream) (Page, error) {
+			listings++
+			return Page{End: end}, nil
+		},
+		Read: func(context.Context, Stream, int64, time.Duration) (Page, error) { return Page{End: end}, nil },
+	}
+	s := &streamReader{daemon: d, stream: Endpoints, apply: func([]Record) {}}
+	for range 3 {
+		if err := s.readOnce(t.Context(), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	end = value.Position{Era: 2, Offset: 5}
+	d.freshness.applyHubTotals(totals{Roster: d.tables.rosterHash(now)}.withEnds(value.Position{}, end), now, true, now)
+	for range 3 {
+		if err := s.readOnce(t.Context(), 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if listings != 2 {
+		t.Errorf("%d full reads in two eras, want 2", listings)
+	}
+}
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -33,6 +33,8 @@
 
 		synced    bool
 		reachable bool
+		// listedEra is the era of the last full read.
+		listedEra int64
 		// relisted is set after a full read because of trimmed records, until new records were read.
 		relisted bool
 	}
@@ -170,6 +172,10 @@
 	call, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
 	from := s.daemon.freshness.next(s.stream)
+	if from.Era != s.listedEra {
+		// Others have read this era for the daemon. What its log has lost shows in a full read only.
+		return s.readAll(ctx)
+	}
 	page, err := s.daemon.store.Read(call, s.stream, from.Offset, wait)
 	if errors.Is(err, ErrTrimmed) {
 		s.daemon.logger.WithName("store").Info("Records were trimmed; reading all again.", "Stream", s.stream, "From", from.Offset, "Era", from.Era)
@@ -230,7 +236,7 @@
 	if s.forward != nil && page.End.Era > known.Era {
 		s.forward(value.Position{Era: page.End.Era}, page.End, page.Records)
 	}
-	s.synced = true
+	s.synced, s.listedEra = true, page.End.Era
 	// The page may be older than earlier reads of its era; the position never goes back.
 	s.daemon.freshness.recordOwnRead(s.stream, page.End, s.daemon.clock.now())
 	return nil
