relay: a version that the log has lost is fetched from a daemon that has it

A daemon that had missed a configuration which the restored log has lost read the log without pause, 289 times in 1.5 s, as long as others announced the version, and stayed behind. Change: after an own read that has not brought an announced version the next one waits a second, and the version is fetched from a daemon that announces it, as while the log is away.

--- a/entryd/relay/control.go
+++ b/entryd/relay/control.go
@@ -202,7 +202,7 @@
 
 // syncFromPeers fetches from other daemons what the log does not deliver: everything if this daemon
 // is not ready, the endpoints that differ from those of the daemon that informs this one, or a newer
-// configuration while the log can't be read.
+// configuration while the log can't be read or has lost it.
 func (d *Daemon) syncFromPeers(ctx context.Context) error {
 	return every(ctx, syncInterval, func() {
 		if !d.tables.ready() {
@@ -218,7 +218,7 @@
 				d.applySnapshotFrom(ctx, []string{source.Control}, "?"+rosterQuery+"="+d.tables.hashes(now).encode())
 			}
 		}
-		if config := d.tables.currentConfig(); config != nil && d.operatorsUnreachable.Load() {
+		if config := d.tables.currentConfig(); config != nil && (d.operatorsUnreachable.Load() || d.freshness.lacksVersion(config.Version)) {
 			d.applySnapshotFrom(ctx, d.members.controlAddresses(config.Version), "")
 		}
 	})
--- a/entryd/relay/freshness.go
+++ b/entryd/relay/freshness.go
@@ -42,6 +42,8 @@
 	// announcedAt when that version was first reported.
 	announcedVersion int64
 	announcedAt      time.Time
+	// soughtVersion is the newest version that was announced before an own read.
+	soughtVersion int64
 }
 
 const (
@@ -81,9 +83,22 @@
 	f.ownReadAt[stream], f.own[stream] = now, value.Furthest(f.own[stream], next)
 	if stream == Operators {
 		f.behindSince = time.Time{}
+		if f.announcedVersion > f.soughtVersion {
+			f.soughtVersion = f.announcedVersion
+		}
+		// The read has brought an announced version if the log has it. It may not: the log was restored.
+		f.announcedAt = value.Later(f.announcedAt, now.Add(ownReadInterval-forwardDelay))
 	}
 }
 
+// lacksVersion reports whether a version newer than the given one was announced and an own read has not
+// brought it.
+func (f *freshness) lacksVersion(version int64) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.soughtVersion > version
+}
+
 // recordForwarded records that the hub has forwarded all operators' records between two positions of an
 // era. If earlier records are missing, the daemon reads them itself.
 func (f *freshness) recordForwarded(from, next value.Position) {
--- a/entryd/relay/restored_test.go
+++ b/entryd/relay/restored_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"lentilstage.dev/decide/shift"
+	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/domain/value"
 )
 
@@ -214,6 +216,52 @@
 	}
 }
 
+// TestLostVersionIsNotSoughtWithoutPause guards against a follower that reads the log without pause for a version
+// that another daemon has and a restored log has lost.
+func TestLostVersionIsNotSoughtWithoutPause(t *testing.T) {
+	t.Parallel()
+	var reads atomic.Int64
+	store := Store{
+		Newest: func(context.Context, Stream) (Page, error) { return Page{End: value.Position{Era: 2, Offset: 3}}, nil },
+		Read: func(ctx context.Context, _ Stream, from int64, wait time.Duration) (Page, error) {
+			reads.Add(1)
+			select {
+			case <-time.After(wait + 4*time.Millisecond):
+			case <-ctx.Done():
+			}
+			return Page{End: value.Position{Era: 2, Offset: 3}}, ctx.Err()
+		},
+	}
+	d, err := New(Settings{
+		Name: "entry-2", DataCentre: "a", Listen: "127.0.0.1:1", ReadyListen: "127.0.0.1:2",
+		Limits: Limits{GracePeriod: time.Second, LeaseDuration: time.Second, RetryWindow: time.Second},
+	}, store, Cloud{}, Codec{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := setup.New(11, nil, nil, nil, setup.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.tables.applyConfig(config, Record{Key: "config", Era: 1}, time.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			m := message{
+				Daemon: "entry-1", Incarnation: "1", DataCentre: "a", Speed: 2, TimeMS: time.Now().UnixMilli(), Config: 14, Era: 2,
+				Totals: &totals{Daemons: 2, OperatorsEra: 2, OperatorsNext: 3},
+			}
+			d.gossip.handle(m, 0, "127.0.0.1:9")
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	_ = d.watchOperators(ctx)
+	if got := reads.Load(); got > 10 {
+		t.Errorf("%d reads in 1.5 s for a version that the log has lost", got)
+	}
+}
+
 // TestLostWindowsStayUnreported guards against a window that is reported with two counts: the holder that found that
 // its counts may be lost has a successor, which finds a record of the present era.
 func TestLostWindowsStayUnreported(t *testing.T) {
