relay: a silent endpoint that rejects requests is not left in the middle of a stream

A started response is left for another endpoint only with a way back, but an endpoint that has meanwhile asked for no requests could not get it again: if the other one turned it away, the caller's stream was aborted. It now goes on waiting. An endpoint that says it is leaving is still left: its silence is more likely its end. A return is no new demand either. Not shown by a test of its own beyond TestResponses, which passes.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -163,6 +163,11 @@
 	if a.ctx.Err() != nil {
 		return false
 	}
+	if responseStarted && x.daemon.tables.rejects(a.endpoint.ID, x.daemon.clock.now()) {
+		// The request could not return to this endpoint if the other one can't go on.
+		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", roster.Rejecting)
+		return false
+	}
 	next, ok := x.selectEndpoint(responseStarted)
 	if !ok {
 		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", "NoEndpoint")
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -508,7 +508,7 @@
 	}
 	if request.Model {
 		p.load.Reading, p.load.Memory = float64(picked.Uncached), float64(request.Prompt+request.Answer)
-		if len(r.tried) == 0 {
+		if len(r.tried) == 0 && r.only == "" {
 			// A retry adds no demand.
 			t.work[r.service] += engineTimeMS(request, picked.Uncached, endpoint.Slots)
 		}
