--- a/entryd/relay/restored_test.go
+++ b/entryd/relay/restored_test.go
@@ -223,7 +223,7 @@
 	var reads atomic.Int64
 	store := Store{
 		Newest: func(context.Context, Stream) (Page, error) { return Page{End: value.Position{Era: 2, Offset: 3}}, nil },
-		Read: func(ctx context.Context, _ Stream, from int64, wait time.Duration) (Page, error) {
+		Read: func(ctx context.Context, _ Stream, _ int64, wait time.Duration) (Page, error) {
 			reads.Add(1)
 			select {
 			case <-time.After(wait + 4*time.Millisecond):
