relay: a daemon that starts does not take the lease before it knows its hub

Cause: the step that lets the last holder append right after its read held for all daemons. When 295 start, each took the lease before it had heard of its hub: a slow daemon won, is the hub of its data centre as the holder, and lost its followers' messages from 3 s on ("Hub changed." 447 times between 0 and 28 s in that data centre, never on). 32 appends conflicted instead of 4. Change: only the last holder appends at once. Evidence: TestStartingDaemonsDoNotTakeTheLeaseAtOnce fails without the change.

--- a/entryd/relay/leader.go
+++ b/entryd/relay/leader.go
@@ -102,10 +102,7 @@
 		if !l.hasDuties() || l.daemon.draining.Load() || !l.daemon.tables.ready() || l.daemon.tables.followsOtherHub() {
 			return
 		}
-		if l.stepLease(ctx) {
-			// An append is due right after the read on which it depends.
-			l.stepLease(ctx)
-		}
+		l.advanceLease(ctx)
 		if l.fence() > 0 && l.daemon.settings.ReportsUsage {
 			l.reportUsage(ctx)
 		}
@@ -123,6 +120,22 @@
 	return l.daemon.settings.ReportsUsage || l.daemon.settings.OrdersEndpoints || l.daemon.tables.hasRollouts(l.daemon.era.Load())
 }
 
+// advanceLease takes the step that is due. The last holder takes the lease again right after the read. All others
+// append at the next step: while all daemons start, each would take the lease before it knows its hub, and the
+// holder, which becomes the hub, might be one of the slowest.
+func (l *leader) advanceLease(ctx context.Context) {
+	if l.stepLease(ctx) && l.uncontested() {
+		l.stepLease(ctx)
+	}
+}
+
+// uncontested reports whether this daemon was the last holder of the lease.
+func (l *leader) uncontested() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.lease.Uncontested(l.daemon.clock.boot())
+}
+
 // stepLease reads, takes or renews the lease if that is due. It reports whether it has read the lease.
 func (l *leader) stepLease(ctx context.Context) (read bool) {
 	l.mutex.Lock()
--- a/entryd/relay/restored_test.go
+++ b/entryd/relay/restored_test.go
@@ -102,9 +102,7 @@
 // run lets a daemon act for a time.
 func (dt *dutyTest) run(d *Daemon, length time.Duration) {
 	for end := dt.now.Add(length); dt.now.Before(end); dt.now = dt.now.Add(dutyStep) {
-		if d.leader.stepLease(context.Background()) {
-			d.leader.stepLease(context.Background())
-		}
+		d.leader.advanceLease(context.Background())
 		if d.leader.fence() > 0 {
 			d.leader.reportUsage(context.Background())
 		}
@@ -367,3 +365,19 @@
 		t.Errorf("%d full reads in two eras, want 2", listings)
 	}
 }
+
+// TestStartingDaemonsDoNotTakeTheLeaseAtOnce guards against a slow daemon that takes the lease before it knows its hub,
+// becomes the hub of its data centre as the holder, and can't carry its followers' messages.
+func TestStartingDaemonsDoNotTakeTheLeaseAtOnce(t *testing.T) {
+	t.Parallel()
+	dt := &dutyTest{t: t, now: time.Unix(1000, 0), log: &memoryLog{era: 1, streams: map[Stream][]Record{}}}
+	d := dt.daemon("entry-1", 0, dt.now)
+	d.leader.advanceLease(t.Context())
+	if got := len(dt.log.streams[Leases]); got > 0 {
+		t.Errorf("%d records of the lease after the first step, want the read alone", got)
+	}
+	d.leader.advanceLease(t.Context())
+	if d.leader.fence() == 0 {
+		t.Error("the lease is not taken at the second step")
+	}
+}
