--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -359,6 +359,9 @@
 // RegisteredState returns the state in an endpoint's newest record; empty if the endpoint is unknown.
 func (s State) RegisteredState(id string) setup.State { return s.entries[id].endpoint.State }
 
+// Missing reports whether an endpoint has no record and is kept only until the grace period ends.
+func (s State) Missing(id string) bool { return s.entries[id].missing }
+
 // RejectsUntil returns when an endpoint takes requests of this daemon again; zero if it always did.
 func (s State) RejectsUntil(id string) time.Time { return s.entries[id].rejectsUntil }
 
--- a/entryd/relay/control.go
+++ b/entryd/relay/control.go
@@ -186,7 +186,8 @@
 	return ids
 }
 
-// snapshot returns the records without End.
+// snapshot returns the records without End. It leaves out endpoints that the log no longer has: this daemon keeps
+// them for a grace period after an outage, which may have been its own alone.
 func (t *tables) snapshot() snapshot {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -194,8 +195,10 @@
 	for _, r := range t.records[Operators] {
 		s.Operators = append(s.Operators, r)
 	}
-	for _, r := range t.records[Endpoints] {
-		s.Endpoints = append(s.Endpoints, r)
+	for id, r := range t.records[Endpoints] {
+		if !t.roster.Missing(id) {
+			s.Endpoints = append(s.Endpoints, r)
+		}
 	}
 	return s
 }
--- a/entryd/relay/follower_test.go
+++ b/entryd/relay/follower_test.go
@@ -114,3 +114,22 @@
 		t.Errorf("after a snapshot with End %d the receiver knows e1: %v, e2: %v; want e1 alone", s.End, receiver.knowsEndpoint("e1"), receiver.knowsEndpoint("e2"))
 	}
 }
+
+// TestSnapshotOmitsMissingEndpoints guards against requests to endpoints that are gone: a daemon that was cut off keeps
+// them for the grace period after its own outage, and a snapshot of it brought them to daemons that were not.
+func TestSnapshotOmitsMissingEndpoints(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newTestDaemon(t, &now)
+	d.addEndpoint("e1", 5)
+	d.addEndpoint("e2", 8)
+	d.setEndpointsReachable(false)
+	now = now.Add(5 * time.Second)
+	d.setEndpointsReachable(true)
+	d.tables.deleteEndpoint(Record{Key: "e2", Offset: 9}, now)
+	if !d.knowsEndpoint("e2") {
+		t.Fatal("the endpoint is not kept for the grace period")
+	}
+	if s := d.snapshot(); len(s.Endpoints) != 1 || s.Endpoints[0].Key != "e1" {
+		t.Errorf("the snapshot has %v, want e1 alone", s.Endpoints)
+	}
+}
