roster, relay: a daemon's own link failure is no outage of the log (DRAIN)

Callers' requests reached replicas up to 2.5 s after the log had confirmed that their registration was removed, from machines without any trouble.

Cause: a daemon whose reads failed kept endpoints without a registration for 2 s after its next read, as after an outage of the log, unless another daemon had read after the failure was noticed. A reader that was cut off alone notices it 1.9 s after its last read, when the others have read and stopped again. It then keeps the endpoint, and so do all daemons that rely on it. Class of fault: one daemon's view of its own link is taken for the state of the log.

Change: the roster keeps the spans in which any daemon has read the log, from own reads and from messages, which now also name the start of the sender's span. Registrations can have expired only if nobody has read for 1.5 report intervals, and the grace period begins with the first read by anyone. Reads that resume return at once, and others' reads count as old after 1.5 s instead of 1.9 s, so that others' reads follow in time and an own one fits into the drain time.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -6,8 +6,10 @@
 // newer, and a record that is missing is treated as after an outage.
 //
 // While the log is unavailable, registrations expire although their endpoints may be alive. A missing
-// record is therefore ignored during the outage and for a grace period after it; an endpoint whose
-// record is still missing then is removed. A record with the state Leaving takes effect immediately.
+// record is therefore ignored while the daemon can't read the log and for a grace period after the outage;
+// an endpoint whose record is still missing then is removed. The outage ends when the first daemon reads the
+// log again, and if other daemons have read it all the time, there was none. A record with the state Leaving
+// takes effect immediately.
 //
 // An endpoint may also say in a response that it is leaving, long before its record does or without
 // such a record. That holds until a new process registers: no record of the same process revokes it,
@@ -16,7 +18,7 @@
 //
 // # Usage
 //
-//	state := roster.New()
+//	state := roster.New(reportInterval)
 //	state, changes := state.Update(roster.Put{Position: value.Position{Era: 1, Offset: 7}, Endpoint: endpoint, Now: now})
 //	state, changes = state.Update(roster.Tick{Now: now})
 //	for _, e := range state.Endpoints() { ... }
@@ -81,18 +83,6 @@
 		Now time.Time
 	}
 
-	// LogLost reports that the log is unavailable.
-	LogLost struct {
-		Now time.Time
-	}
-
-	// LogRecovered reports that the log is available again. OnlyThisDaemon reports that it was
-	// unavailable only to this daemon, so that no registration expired because of the outage.
-	LogRecovered struct {
-		Now            time.Time
-		OnlyThisDaemon bool
-	}
-
 	// Tick reports the current time.
 	Tick struct {
 		Now time.Time
@@ -112,8 +102,14 @@
 		entries map[string]entry
 		// era is the newest era of the log in which a record was written.
 		era int64
-		// logDown is set while the log is unavailable; graceUntil is when the grace period ends.
-		logDown    bool
+		// interruption is the time without any read of the log from which registrations may have expired.
+		interruption time.Duration
+		// reads are the times of reads by any daemon.
+		reads reads
+		// logDown is set while this daemon can't read the log, recoveredAt is when it last could again.
+		logDown     bool
+		recoveredAt time.Time
+		// graceUntil is when the grace period of a new era ends.
 		graceUntil time.Time
 	}
 
@@ -122,7 +118,7 @@
 		position value.Position
 		present  bool
 		// missing reports that the record was deleted while the endpoint may be alive; the endpoint
-		// is removed at graceUntil.
+		// is removed at keptUntil.
 		missing bool
 		// announced reports that the process has said in a response that it is leaving.
 		announced bool
@@ -155,8 +151,11 @@
 	maxDeleted = 512
 )
 
-// New returns an empty state.
-func New() State { return State{entries: map[string]entry{}} }
+// New returns an empty state. reportInterval is how often an endpoint renews its registration; 0 stands for
+// defaultReportInterval.
+func New(reportInterval time.Duration) State {
+	return State{entries: map[string]entry{}, interruption: interruption(reportInterval)}
+}
 
 // Update applies a message and returns the updated state and the resulting changes.
 func (s State) Update(message Message) (State, []Change) {
@@ -185,17 +184,12 @@
 		return s.reject(m)
 	case Listed:
 		return s.withEra(m.End.Era, m.Now).listed(m)
+	case LogRead:
+		return s.recordRead(m.Since, m.At), nil
 	case LogLost:
 		s.logDown = true
 	case LogRecovered:
-		if s.logDown {
-			s.logDown = false
-			// The grace period of a new era goes on.
-			s.graceUntil = value.Later(s.graceUntil, m.Now)
-			if !m.OnlyThisDaemon {
-				s.graceUntil = m.Now.Add(reregisterGrace)
-			}
-		}
+		return s.recover(m.Now), nil
 	case Tick:
 		return s.expireMissing(m.Now)
 	}
@@ -292,7 +286,7 @@
 		s.entries[id] = e
 		return s, nil
 	}
-	if s.logDown || now.Before(s.graceUntil) {
+	if s.logDown || now.Before(s.keptUntil()) {
 		e.missing = true
 		s.entries[id] = e
 		return s, nil
@@ -328,7 +322,7 @@
 	var changes []Change
 	deleted := 0
 	for id, e := range s.entries {
-		if e.present && e.missing && !now.Before(s.graceUntil) {
+		if e.present && e.missing && !now.Before(s.keptUntil()) {
 			e.present, e.missing = false, false
 			s.entries[id] = e
 			changes = append(changes, Change{Endpoint: e.endpoint, Reason: Gone})
@@ -377,6 +371,4 @@
 func (LeavingAnnounced) message() {}
 func (Rejected) message()         {}
 func (Listed) message()           {}
-func (LogLost) message()          {}
-func (LogRecovered) message()     {}
 func (Tick) message()             {}
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -38,9 +38,12 @@
 		Born     int64    `yaml:"Born"`
 		Lost     bool     `yaml:"Lost"`
 		Returned bool     `yaml:"Returned"`
-		Alone    bool     `yaml:"Alone"`
-		Elapsed  bool     `yaml:"Elapsed"`
-		Want     []string `yaml:"Want"`
+		// Read is the time in seconds of a read by another daemon, which names Since as the start of the reads
+		// without an interruption.
+		Read    *float64 `yaml:"Read"`
+		Since   *float64 `yaml:"Since"`
+		Elapsed bool     `yaml:"Elapsed"`
+		Want    []string `yaml:"Want"`
 	}
 )
 
@@ -53,7 +56,7 @@
 }
 
 func (s script) run(t *testing.T) {
-	state := New()
+	state := New(0)
 	for i, step := range s.Steps {
 		var changes []Change
 		state, changes = state.Update(step.message())
@@ -106,7 +109,13 @@
 	case s.Lost:
 		return LogLost{Now: now}
 	case s.Returned:
-		return LogRecovered{Now: now, OnlyThisDaemon: s.Alone}
+		return LogRecovered{Now: now}
+	case s.Read != nil:
+		m := LogRead{Since: at(*s.Read), At: at(*s.Read)}
+		if s.Since != nil {
+			m.Since = at(*s.Since)
+		}
+		return m
 	case s.Elapsed:
 		return Tick{Now: now}
 	}
--- a/entryd/relay/follower_test.go
+++ b/entryd/relay/follower_test.go
@@ -133,3 +133,63 @@
 		t.Errorf("the snapshot has %v, want e1 alone", s.Endpoints)
 	}
 }
+
+// TestHubWithoutLinkDropsGoneEndpoints guards against requests to endpoints that are gone (DRAIN): a hub that alone could
+// not read the log for a moment took that for an outage of the log, kept endpoints whose registration had been removed
+// for a grace period, and so did the followers that rely on it.
+func TestHubWithoutLinkDropsGoneEndpoints(t *testing.T) {
+	start := time.Unix(1000, 0)
+	now := start
+	d := newTestDaemon(t, &now)
+	d.addEndpoint("e1", 5)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	// peer sends a message of another daemon, whose last read was at a time.
+	peer := func(seconds, read float64) {
+		now = at(seconds)
+		m := message{Daemon: "entry-3", Incarnation: "3", DataCentre: "b", Speed: 1, Digest: true, TimeMS: now.UnixMilli()}
+		m.ReadAgeMS, m.OwnReadAgeMS = now.Sub(at(read)).Milliseconds(), now.Sub(at(read)).Milliseconds()
+		d.gossip.handle(m, 0, "127.0.0.1:9")
+	}
+	d.setEndpointsReachable(true)
+	peer(0.5, 0)
+	peer(1.7, 1.6)
+	peer(2.3, 1.6)
+	now = at(2.4)
+	d.setEndpointsReachable(false)
+	peer(2.5, 1.6)
+	now = at(2.7)
+	d.setEndpointsReachable(true)
+	d.tables.deleteEndpoint(Record{Key: "e1", Offset: 6}, now)
+	d.tables.tick(now)
+	if d.knowsEndpoint("e1") {
+		t.Error("an endpoint that is gone is kept although another daemon has read the log in the meantime")
+	}
+}
+
+// TestOutageOfAllDaemonsKeepsEndpoints guards against the removal of live endpoints whose registration has expired in an
+// outage of the log: reads of other daemons before and after it are no sign that only this one could not read.
+func TestOutageOfAllDaemonsKeepsEndpoints(t *testing.T) {
+	start := time.Unix(1000, 0)
+	now := start
+	d := newTestDaemon(t, &now)
+	d.addEndpoint("e1", 5)
+	d.setEndpointsReachable(true)
+	for _, read := range []int{0, 0, 0, 4000} {
+		now = now.Add(time.Second)
+		age := now.Sub(start).Milliseconds() - int64(read)
+		m := message{Daemon: "entry-3", Incarnation: "3", DataCentre: "b", Speed: 1, Digest: true, TimeMS: now.UnixMilli(), ReadAgeMS: age, OwnReadAgeMS: age}
+		d.gossip.handle(m, 0, "127.0.0.1:9")
+		d.setEndpointsReachable(false)
+	}
+	d.setEndpointsReachable(true)
+	d.tables.deleteEndpoint(Record{Key: "e1", Offset: 6}, now)
+	d.tables.tick(now.Add(1900 * time.Millisecond))
+	if !d.knowsEndpoint("e1") {
+		t.Error("an endpoint is removed before it could register again after an outage of the log")
+	}
+	now = now.Add(2100 * time.Millisecond)
+	d.tables.tick(now)
+	if d.knowsEndpoint("e1") {
+		t.Error("an endpoint that has not registered again is kept")
+	}
+}
--- a/entryd/relay/freshness.go
+++ b/entryd/relay/freshness.go
@@ -31,10 +31,6 @@
 	// behindSince is when the hub first reported more operators' records than this daemon has; zero
 	// if it has not.
 	behindSince time.Time
-	// peerReadAt is the latest read of the endpoints that another daemon has reported, and
-	// peerReadSince the start of the span in which such reads have come without a gap.
-	peerReadAt    time.Time
-	peerReadSince time.Time
 	// divergedSince is when the endpoints began to differ from the hub's; zero while they agree.
 	divergedSince time.Time
 	rosterHash    func(time.Time) uint64
@@ -50,17 +46,16 @@
 	// maxOperatorsAge limits the age of the read of the configuration that informs a daemon. After it,
 	// an own read must still fit into the time in which a change must be in force.
 	maxOperatorsAge = 1500 * time.Millisecond
-	// maxEndpointsAge limits the age of the read of the endpoints.
-	maxEndpointsAge = 1900 * time.Millisecond
+	// maxEndpointsAge limits the age of the read of the endpoints. After it, an own read must still fit into the time
+	// in which a leaving endpoint must be out of use, which is two seconds or more, and must come before the reads
+	// of all daemons count as interrupted.
+	maxEndpointsAge = 1500 * time.Millisecond
 	// usualInterval is the interval of messages for which these ages hold. They grow with it, since
 	// an age is two intervals old when it reaches a follower.
 	usualInterval = 100 * time.Millisecond
 	// hubReadLead is how much earlier a hub reads than its followers would, so that one read informs
 	// them all.
 	hubReadLead = 200 * time.Millisecond
-	// maxPeerReadGap is the longest gap between other daemons' reads for which the log counts as
-	// reachable without interruption; a hub reads at least every two seconds.
-	maxPeerReadGap = 2500 * time.Millisecond
 	// repairDelay is how long the endpoints may differ from the hub's before they are all fetched;
 	// changes normally arrive in the next datagram.
 	repairDelay = 600 * time.Millisecond
@@ -230,27 +225,6 @@
 	return true
 }
 
-// recordPeerRead records a read of the endpoints that another daemon has reported.
-func (f *freshness) recordPeerRead(at time.Time) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if !at.After(f.peerReadAt) {
-		return
-	}
-	if at.Sub(f.peerReadAt) > maxPeerReadGap {
-		f.peerReadSince = at
-	}
-	f.peerReadAt = at
-}
-
-// reachableByPeers reports whether other daemons have read the log without a gap between the two
-// times, and between them.
-func (f *freshness) reachableByPeers(since, now time.Time) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return now.Sub(f.peerReadAt) < maxPeerReadGap && f.peerReadAt.After(since) && !f.peerReadSince.After(since)
-}
-
 // recordVersion records a configuration version that a daemon has reported.
 func (f *freshness) recordVersion(version int64, now time.Time) {
 	f.mutex.Lock()
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -187,7 +187,7 @@
 	}
 	d.observeEra(m.Era, m.Daemon)
 	d.freshness.recordVersion(m.Config, now)
-	d.freshness.recordPeerRead(ago(m.ReadAgeMS, now))
+	d.tables.recordLogRead(ago(m.LogReadableMS, now), ago(m.ReadAgeMS, now))
 	switch {
 	case m.Sum && m.Totals != nil:
 		g.handleSum(m, now)
@@ -446,6 +446,7 @@
 	m.AgeMS = d.age(now).Milliseconds()
 	informedAt, ownReadAt := d.freshness.readTimes(Endpoints)
 	m.ReadAgeMS, m.OwnReadAgeMS = ageMS(informedAt, now), ageMS(ownReadAt, now)
+	m.LogReadableMS = ageMS(d.tables.logReadableSince(now), now)
 	m.Fence = d.leader.fence()
 	m.Config, m.Era = d.tables.configVersion(), d.era.Load()
 	d.members.use(func(s *hubs.State) {
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -48,6 +48,9 @@
 		// OwnReadAgeMS since its own.
 		ReadAgeMS    int64 `cbor:"22,keyasint"`
 		OwnReadAgeMS int64 `cbor:"38,keyasint"`
+		// LogReadableMS is the time since which daemons have read the endpoints without an interruption, as far as
+		// the sender knows.
+		LogReadableMS int64 `cbor:"42,keyasint,omitempty"`
 		// Breaks counts the broken attempts of suspect requests. Quarantined holds the requests in
 		// quarantine, each with how often it was quarantined.
 		Breaks      map[suspect.Key]int `cbor:"24,keyasint,omitempty"`
--- a/entryd/relay/settings.go
+++ b/entryd/relay/settings.go
@@ -47,6 +47,8 @@
 		RetryRatio     float64
 		RetryAllowance int
 		RetryWindow    time.Duration
+		// ReportInterval is how often an endpoint renews its registration; 0 if not known.
+		ReportInterval time.Duration
 		// CacheReuseWindow is how long a shared prompt part stays useful in a cache after its last use.
 		CacheReuseWindow time.Duration
 	}
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -148,7 +148,7 @@
 	return &tables{
 		centre:  s.DataCentre,
 		records: map[Stream]map[string]Record{Operators: {}, Endpoints: {}},
-		roster:  roster.New(), health: health.New(settings), quota: quota.New(start, quotaPhase(s.Name)),
+		roster:  roster.New(s.Limits.ReportInterval), health: health.New(settings), quota: quota.New(start, quotaPhase(s.Name)),
 		usage: usage.New(s.Name, incarnation, window),
 		own:   map[string]choice.Load{}, peers: map[string]peerState{}, centres: map[string]peerState{},
 		pastUsed: map[string]int64{}, pastUsedElsewhere: map[string]int64{},
@@ -215,9 +215,8 @@
 	return t.updateRoster(roster.Listed{End: end, IDs: ids, Now: now})
 }
 
-// setReachable records whether the log is reachable. reachableByPeers reports whether other daemons
-// have read it since a time.
-func (t *tables) setReachable(reachable bool, now time.Time, reachableByPeers func(since time.Time) bool) []roster.Change {
+// setReachable records whether the log is reachable.
+func (t *tables) setReachable(reachable bool, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if !reachable {
@@ -226,9 +225,23 @@
 		}
 		return t.updateRoster(roster.LogLost{Now: now})
 	}
-	alone := !t.unreachableSince.IsZero() && reachableByPeers(t.unreachableSince)
 	t.unreachableSince = time.Time{}
-	return t.updateRoster(roster.LogRecovered{Now: now, OnlyThisDaemon: alone})
+	return t.updateRoster(roster.LogRecovered{Now: now})
+}
+
+// recordLogRead records that a daemon has read the endpoints' registrations at a time, and that daemons have read
+// them without an interruption since another one.
+func (t *tables) recordLogRead(since, at time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.updateRoster(roster.LogRead{Since: since, At: at})
+}
+
+// logReadableSince returns since when daemons have read the endpoints' registrations without an interruption.
+func (t *tables) logReadableSince(now time.Time) time.Time {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.roster.ReadableSince(now)
 }
 
 // unreachable reports whether the log is unreachable.
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -46,8 +46,9 @@
 	operatorsWait = 800 * time.Millisecond
 	// endpointsWait and endpointsInterval apply to the endpoints' stream, whose records arrive
 	// continuously. The interval limits the number of reads, which are billed, and the time until a
-	// leaving endpoint is seen.
-	endpointsWait     = 1000 * time.Millisecond
+	// leaving endpoint is seen. Both together are the longest time between two reads, which must stay below
+	// maxEndpointsAge.
+	endpointsWait     = 400 * time.Millisecond
 	endpointsInterval = 700 * time.Millisecond
 	// readSlack is the time that a response may take beyond its wait.
 	readSlack = 900 * time.Millisecond
@@ -55,6 +56,9 @@
 	idleInterval = 100 * time.Millisecond
 	// ownReadInterval is the pause between the reads of a follower that its hub does not inform.
 	ownReadInterval = time.Second
+	// resumeAge is the age of a daemon's last read from which the next one returns at once: what others read has
+	// become old, and the read shows them that the log can be read.
+	resumeAge = 1200 * time.Millisecond
 	// aloneTime is the age from which a process that can't read who the others are reads for itself.
 	aloneTime = 600 * time.Millisecond
 	// readRetryDelay follows a failed read of a hub, or of a daemon that has read nothing yet. Others
@@ -96,7 +100,10 @@
 // setEndpointsReachable records whether the endpoints' stream can be read.
 func (d *Daemon) setEndpointsReachable(reachable bool) {
 	now := d.clock.now()
-	d.publishChanges(d.tables.setReachable(reachable, now, func(since time.Time) bool { return d.freshness.reachableByPeers(since, now) }))
+	if reachable {
+		d.tables.recordLogRead(now, now)
+	}
+	d.publishChanges(d.tables.setReachable(reachable, now))
 }
 
 func (s *streamReader) run(ctx context.Context) error {
@@ -110,6 +117,9 @@
 			}
 			wait = 0
 		}
+		if _, ownReadAt := s.daemon.freshness.readTimes(s.stream); started.Sub(ownReadAt) > resumeAge {
+			wait = 0
+		}
 		err := s.readOnce(ctx, wait)
 		if ctx.Err() != nil {
 			break
@@ -271,7 +281,9 @@
 	s.reachable = reachable
 	next := s.daemon.freshness.next(s.stream)
 	if reachable {
-		s.daemon.logger.WithName("store").Info("Reachable.", "Stream", s.stream, "Next", next.Offset, "Era", next.Era)
+		now := s.daemon.clock.now()
+		s.daemon.logger.WithName("store").Info("Reachable.", "Stream", s.stream, "Next", next.Offset, "Era", next.Era,
+			"ReadableMilliseconds", ageMS(s.daemon.tables.logReadableSince(now), now))
 		return
 	}
 	s.daemon.meters.count("Store.Lost")
