roster: that a process is leaving is not undone by a later record (DRAIN)

Within an era the roster took the record with the highest position, whatever its sequence number. The log may append a record some seconds late: one as ready that the process wrote before it left, or before its registration was removed, put the endpoint back into use.

Change: of the records of one process, one with a lower sequence number is ignored, and once the process has said that it is leaving, by a record or in a response, that holds until another process registers.

Evidence: three scripts of decide/roster that failed before; two that hold the other side, a registration that had expired and a new process.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -12,9 +12,9 @@
 // takes effect immediately.
 //
 // An endpoint may also say in a response that it is leaving, long before its record does or without
-// such a record. That holds until a new process registers: no record of the same process revokes it,
-// also after an expired registration has returned. The time until which it wants no requests from this
-// daemon is kept in the same way.
+// such a record. That a process is leaving, by a record or by a response, holds until a new process
+// registers: no record of the same process revokes it, also after an expired registration has returned. The
+// time until which it wants no requests from this daemon is kept in the same way.
 //
 // # Usage
 //
@@ -120,7 +120,7 @@
 		// missing reports that the record was deleted while the endpoint may be alive; the endpoint
 		// is removed at keptUntil.
 		missing bool
-		// announced reports that the process has said in a response that it is leaving.
+		// announced reports that the process has said that it is leaving, in a response or in an earlier record.
 		announced bool
 		// rejectsUntil is when the process takes requests of this daemon again; zero if it always did.
 		rejectsUntil time.Time
@@ -215,7 +215,7 @@
 	}
 	e := entry{endpoint: m.Endpoint, position: m.Position, present: true}
 	if exists && old.endpoint.SameProcess(m.Endpoint) {
-		e.announced, e.rejectsUntil = old.announced, old.rejectsUntil
+		e.announced, e.rejectsUntil = old.announced || old.endpoint.State == setup.Leaving, old.rejectsUntil
 	}
 	s.entries[m.Endpoint.ID] = e
 	switch {
@@ -225,7 +225,7 @@
 		return s, []Change{{Endpoint: m.Endpoint, Reason: Restarted}}
 	case old.endpoint.State != setup.Leaving && m.Endpoint.State == setup.Leaving:
 		return s, []Change{{Endpoint: m.Endpoint, Reason: Left}}
-	case old.endpoint.RoutingAttributes() != m.Endpoint.RoutingAttributes():
+	case old.current().RoutingAttributes() != e.current().RoutingAttributes():
 		return s, []Change{{Endpoint: e.current(), Reason: Updated}}
 	}
 	return s, nil
@@ -271,11 +271,15 @@
 }
 
 // accepts reports whether a record is newer than the one that is known. In a new era it may come from the
-// copy from which the log was restored, so that its position says nothing.
+// copy from which the log was restored, so that its position says nothing. Within an era, the log may append a
+// record of the same process late, after records that the process has written since.
 func (e entry) accepts(m Put) bool {
 	if m.Position.Era > e.position.Era {
 		return m.Endpoint.After(e.endpoint)
 	}
+	if e.endpoint.SameProcess(m.Endpoint) && m.Endpoint.Sequence < e.endpoint.Sequence {
+		return false
+	}
 	return e.position.Before(m.Position)
 }
 
