--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -27,7 +27,6 @@
 package roster
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -60,6 +59,7 @@
 	Removed struct {
 		Position value.Position
 		ID       string
+		Now      time.Time
 	}
 
 	// LeavingAnnounced reports that the process of an endpoint has said in a response that it is leaving.
@@ -122,6 +122,8 @@
 		missing bool
 		// announced reports that the process has said that it is leaving, in a response or in an earlier record.
 		announced bool
+		// removedAt is when the endpoint was removed, if it is not present.
+		removedAt time.Time
 		// rejectsUntil is when the process takes requests of this daemon again; zero if it always did.
 		rejectsUntil time.Time
 	}
@@ -146,8 +148,8 @@
 	// reregisterGrace is how long live endpoints take to register again after an outage of the log or
 	// its restoration. The platform specifies about two seconds.
 	reregisterGrace = 2 * time.Second
-	// maxDeleted is the maximum number of removed entries kept to reject older records.
-	// All of them are discarded when it is exceeded.
+	// maxDeleted is the maximum number of removed entries kept to reject older records. The half that was
+	// removed first is discarded when it is exceeded.
 	maxDeleted = 512
 )
 
@@ -175,9 +177,8 @@
 		if !ok || !e.present || m.Position.Before(e.position) {
 			return s, nil
 		}
-		e.position, e.present, e.missing = m.Position, false, false
-		s.entries[m.ID] = e
-		return s, []Change{{Endpoint: e.endpoint, Reason: Gone}}
+		e.position = m.Position
+		return s.remove(m.ID, e, m.Now)
 	case LeavingAnnounced:
 		return s.announce(m.Endpoint)
 	case Rejected:
@@ -295,7 +296,12 @@
 		s.entries[id] = e
 		return s, nil
 	}
-	e.present, e.missing = false, false
+	return s.remove(id, e, now)
+}
+
+// remove removes an entry, but keeps it to reject older records.
+func (s State) remove(id string, e entry, now time.Time) (State, []Change) {
+	e.present, e.missing, e.removedAt = false, false, now
 	s.entries[id] = e
 	return s, []Change{{Endpoint: e.endpoint, Reason: Gone}}
 }
@@ -324,19 +330,22 @@
 		return s, nil
 	}
 	var changes []Change
-	deleted := 0
+	var removed []string
 	for id, e := range s.entries {
 		if e.present && e.missing && !now.Before(s.keptUntil()) {
-			e.present, e.missing = false, false
-			s.entries[id] = e
-			changes = append(changes, Change{Endpoint: e.endpoint, Reason: Gone})
+			var change []Change
+			s, change = s.remove(id, e, now)
+			changes = append(changes, change...)
 		}
-		if !e.present {
-			deleted++
+		if !s.entries[id].present {
+			removed = append(removed, id)
 		}
 	}
-	if deleted > maxDeleted {
-		maps.DeleteFunc(s.entries, func(_ string, e entry) bool { return !e.present })
+	if len(removed) > maxDeleted {
+		slices.SortFunc(removed, func(a, b string) int { return s.entries[a].removedAt.Compare(s.entries[b].removedAt) })
+		for _, id := range removed[:len(removed)-maxDeleted/2] {
+			delete(s.entries, id)
+		}
 	}
 	return s, changes
 }
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -121,3 +121,35 @@
 	}
 	return Listed{End: value.Position{Era: s.Era, Offset: s.End}, IDs: s.List, Now: now}
 }
+
+// TestManyRemovedEndpoints guards against an endpoint that is back in use after a late record (DRAIN), since the records
+// of all removed endpoints were dropped together once there were too many.
+func TestManyRemovedEndpoints(t *testing.T) {
+	state := New(0)
+	endpoint := func(i int) setup.Endpoint {
+		return setup.Endpoint{ID: fmt.Sprint("e", i), State: setup.Ready, Sequence: 2}
+	}
+	position := int64(0)
+	next := func() value.Position {
+		position++
+		return value.Position{Offset: position}
+	}
+	const count = maxDeleted + 100
+	for i := range count {
+		now := at(float64(i))
+		state, _ = state.Update(Put{Position: next(), Endpoint: endpoint(i), Now: now})
+		state, _ = state.Update(Deleted{Position: next(), ID: endpoint(i).ID, Now: now})
+		state, _ = state.Update(Tick{Now: now})
+	}
+	if kept := len(state.entries); kept > maxDeleted {
+		t.Errorf("%d removed endpoints are kept, %d at most", kept, maxDeleted)
+	}
+	for i := count - maxDeleted/2; i < count; i++ {
+		late := endpoint(i)
+		late.Sequence = 1
+		var changes []Change
+		if state, changes = state.Update(Put{Position: next(), Endpoint: late, Now: at(count)}); len(changes) > 0 {
+			t.Fatalf("a late record of endpoint %d of %d has the effect %v", i, count, changes)
+		}
+	}
+}
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -260,7 +260,7 @@
 	g.daemon.applyEndpointRecords(m.Put)
 	var gone []roster.Change
 	for _, r := range m.Gone {
-		gone = append(gone, g.daemon.tables.removeGone(r)...)
+		gone = append(gone, g.daemon.tables.removeGone(r, g.daemon.clock.now())...)
 	}
 	g.daemon.publishChanges(gone)
 }
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -300,10 +300,10 @@
 }
 
 // removeGone removes an endpoint that the hub found gone.
-func (t *tables) removeGone(record Record) []roster.Change {
+func (t *tables) removeGone(record Record, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.updateRoster(roster.Removed{Position: record.Position(), ID: record.Key})
+	return t.updateRoster(roster.Removed{Position: record.Position(), ID: record.Key, Now: now})
 }
 
 // changesMessage returns a message with changes of endpoints.
