relay: an endpoint that is withdrawn while a request connects gets no bytes (DRAIN)

The endpoint was chosen before the connection was opened, which may take 0.7 s; afterwards only its rejections were looked at. A registration as leaving, its removal, what another response said and a new process under the identifier had no effect on the request. Found by reading; the delay is below the drain time, so that it does not break the rule by itself.

Change: one check before the bytes are sent, for all these reasons and for kept connections, too. The request goes to another endpoint. Evidence: TestWithdrawnEndpointGetsNoBytes; four of its five cases failed before.

--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -99,10 +99,10 @@
 	if err != nil {
 		return a.dialFailed(err)
 	}
-	if now := x.daemon.clock.now(); !reused && x.daemon.tables.rejects(endpoint.ID, now) {
-		// It has rejected another request while this one was being connected.
+	if reason, withdrawn := x.daemon.tables.withdrawn(endpoint, x.daemon.clock.now()); withdrawn {
+		// It was taken out of use while this request was being connected.
 		_ = c.Close()
-		x.log("Not sent.", "Endpoint", endpoint.ID, "Reason", roster.Rejecting)
+		x.log("Not sent.", "Endpoint", endpoint.ID, "Reason", reason)
 		return notSent
 	}
 	a.endpointConn, a.reused = c, reused
--- a/entryd/relay/drain_test.go
+++ b/entryd/relay/drain_test.go
@@ -5,8 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
+
+	"lentilstage.dev/domain/setup"
 )
 
 type (
@@ -66,3 +69,56 @@
 		t.Errorf("no complete response: %v", err)
 	}
 }
+
+// TestWithdrawnEndpointGetsNoBytes guards against a request to an endpoint that was taken out of use while the request
+// was being connected (DRAIN).
+func TestWithdrawnEndpointGetsNoBytes(t *testing.T) {
+	t.Parallel()
+	for name, withdraw := range map[string]func(d *Daemon, e setup.Endpoint, now time.Time){
+		"it registers that it leaves": func(d *Daemon, e setup.Endpoint, now time.Time) {
+			e.State, e.Sequence = setup.Leaving, 2
+			d.tables.putEndpoint(Record{Key: e.ID, Offset: 6, Value: []byte("{}")}, e, now)
+		},
+		"it says that it leaves": func(d *Daemon, e setup.Endpoint, _ time.Time) { d.tables.recordLeaving(e) },
+		"its registration is removed": func(d *Daemon, e setup.Endpoint, now time.Time) {
+			d.tables.deleteEndpoint(Record{Key: e.ID, Offset: 6}, now)
+		},
+		"another process registers": func(d *Daemon, e setup.Endpoint, now time.Time) {
+			e.StartedAtMS = 9
+			d.tables.putEndpoint(Record{Key: e.ID, Offset: 6, Value: []byte("{}")}, e, now)
+		},
+		"it rejects requests": func(d *Daemon, e setup.Endpoint, now time.Time) {
+			d.tables.recordRejection(e, now.Add(time.Minute), now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			received := make(chan int, 1)
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				data, _ := io.ReadAll(io.LimitReader(conn, 1))
+				_ = conn.Close()
+				received <- len(data)
+			}()
+			now := time.Now()
+			d := newTestDaemon(t, &now)
+			d.codec.RequestHeader = func(Call, AttemptInfo) http.Header { return http.Header{} }
+			e := setup.Endpoint{ID: "e1", Service: "pool", Address: listener.Addr().String(), Slots: 4, State: setup.Ready, Sequence: 1}
+			d.tables.putEndpoint(Record{Key: "e1", Offset: 5, Value: []byte("{}")}, e, now)
+			withdraw(d, e, now)
+			x := &exchange{daemon: d, request: httptest.NewRequest(http.MethodPost, "/pool/", nil), deadline: now.Add(time.Second), arrived: now}
+			result := x.attempt(t.Context(), selection{endpoint: e, placed: &placement{endpoint: "e1"}}, 0)
+			_ = listener.Close()
+			if got := <-received; result != notSent || got > 0 {
+				t.Errorf("outcome %s and %d bytes received, want %s and none", result, got, notSent)
+			}
+		})
+	}
+}
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -470,6 +470,26 @@
 	return now.Before(t.roster.RejectsUntil(id))
 }
 
+// withdrawn reports whether an endpoint that was chosen for a request must not get it any more, and why: it rejects
+// requests, is leaving or gone, or another process has its identifier.
+func (t *tables) withdrawn(chosen setup.Endpoint, now time.Time) (roster.Reason, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.refresh(now)
+	current, known := t.endpoint(chosen.ID)
+	switch {
+	case !known:
+		return roster.Gone, true
+	case !current.SameProcess(chosen):
+		return roster.Restarted, true
+	case current.State != setup.Ready:
+		return roster.Left, true
+	case now.Before(t.roster.RejectsUntil(chosen.ID)):
+		return roster.Rejecting, true
+	}
+	return "", false
+}
+
 // endpoint returns a known endpoint.
 func (t *tables) endpoint(id string) (setup.Endpoint, bool) {
 	i := slices.IndexFunc(t.endpoints, func(e setup.Endpoint) bool { return e.ID == id })
