--- a/decide/choice/choice.go
+++ b/decide/choice/choice.go
@@ -171,6 +171,12 @@
 	return p.pace.FirstMS + float64(p.Uncached)/p.pace.PrefillPerMS
 }
 
+// Attraction returns the fraction of a service's requests that one of its endpoints gets at most while it is the least
+// loaded one.
+func Attraction(endpoints int) float64 {
+	return min(1, sampleSize/float64(max(endpoints, 1)))
+}
+
 // sample returns random positions below count, possibly with repeats.
 func sample(count int, random func() float64) [sampleSize]int {
 	var sampled [sampleSize]int
--- /dev/null
+++ b/decide/quota/endpoint.go
@@ -0,0 +1,88 @@
+package quota
+
+import (
+	"time"
+
+	"lentilstage.dev/domain/setup"
+)
+
+type (
+	// EndpointLimited reports that an endpoint takes some requests a second from all daemons together. An
+	// endpoint that names another number takes that one.
+	EndpointLimited struct {
+		// Key stands for the endpoint, and must differ from the name of any account.
+		Key string
+		// Rate is the number of requests a second, as the endpoint names it.
+		Rate float64
+		Now  time.Time
+	}
+
+	// EndpointUnlimited reports that an endpoint names no limit any more, or is gone.
+	EndpointUnlimited struct {
+		Key string
+	}
+)
+
+const (
+	// limitFraction of an endpoint's limit is used, since daemons admit requests before they know of each
+	// other's.
+	limitFraction = 0.9
+	// An endpoint's burst is burstRequests plus the requests of burstTime. It is the range in which the daemons of a
+	// large fleet take turns: the lower the level, the fewer of them may send a request before they hear of
+	// each other's, which takes up to burstTime.
+	burstRequests = 2
+	burstTime     = 1500 * time.Millisecond
+	// minLimit is the lowest limit in requests a second. An endpoint that takes none would get no request in
+	// whose response it could name another limit.
+	minLimit = 0.1
+	// maxLimit is the limit in requests a second from which an endpoint counts as unlimited.
+	maxLimit = 1e6
+)
+
+// limitEndpoint sets the limit of an endpoint. A new bucket is empty: what the endpoint got before is not known.
+func (s *State) limitEndpoint(m EndpointLimited) {
+	if m.Rate >= maxLimit {
+		s.Update(EndpointUnlimited{Key: m.Key})
+		return
+	}
+	s.advance(m.Now)
+	rate := limitFraction * max(m.Rate, minLimit)
+	a := setup.Account{Name: m.Key, Rate: rate, Burst: burstRequests + rate*burstTime.Seconds()}
+	b, known := s.accounts[m.Key]
+	if !known {
+		b = &bucket{ofEndpoint: true, updatedAt: m.Now}
+		s.accounts[m.Key] = b
+	}
+	b.account, b.level = a, min(b.level, a.Burst)
+}
+
+// CheckEndpoint decides whether an endpoint may get a request now. It deducts nothing. offered is the probability that
+// the endpoint would get the request. An endpoint without a limit may get all requests.
+func (s *State) CheckEndpoint(key string, offered float64, now time.Time) Decision {
+	b, ok := s.accounts[key]
+	if !ok {
+		return Decision{Admitted: true}
+	}
+	b.recordOffered(offered, now)
+	return s.check(b, 1, now)
+}
+
+// CountEndpoint deducts a request to an endpoint, also one beyond its limit.
+func (s *State) CountEndpoint(key string) {
+	if b, ok := s.accounts[key]; ok {
+		b.level--
+		s.used[key]++
+	}
+}
+
+// Limit returns the requests a second that an endpoint may get, and whether it has a limit.
+func (s *State) Limit(key string) (float64, bool) {
+	b, ok := s.accounts[key]
+	if !ok {
+		return 0, false
+	}
+	return b.account.Rate, true
+}
+
+func (EndpointLimited) message()   {}
+func (EndpointUnlimited) message() {}
--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -7,6 +7,9 @@
 // to use its equal share of the burst and of the rate, and its peers assume the same of this
 // daemon: daemons that are partitioned from each other keep to their equal shares.
 //
+// The requests that an endpoint takes from all daemons together are limited in the same way, under a key
+// that no account has.
+//
 // # Usage
 //
 //	state := quota.New(quota.InitialFraction, phase)
@@ -97,12 +100,16 @@
 		accounts       map[string]*bucket
 		peers          map[string]*peer
 		used           map[string]float64
+		// refilledAt is the time up to which all buckets are refilled.
+		refilledAt time.Time
 	}
 
 	bucket struct {
-		account   setup.Account
-		level     float64
-		updatedAt time.Time
+		account setup.Account
+		// ofEndpoint is set for the limit of an endpoint, which no configuration has.
+		ofEndpoint bool
+		level      float64
+		updatedAt  time.Time
 		// offered is the cost of the recent requests at this daemon, admitted or not, as of
 		// offeredAt. It decays exponentially over offeredWindow.
 		offered   float64
@@ -190,6 +197,13 @@
 	case PeerRemoved:
 		s.advance(m.Now)
 		delete(s.peers, m.Daemon)
+	case EndpointLimited:
+		s.limitEndpoint(m)
+	case EndpointUnlimited:
+		if b, ok := s.accounts[m.Key]; ok && b.ofEndpoint {
+			delete(s.accounts, m.Key)
+			delete(s.used, m.Key)
+		}
 	}
 }
 
@@ -210,8 +224,8 @@
 		b.account = a
 		b.level = min(b.level, a.Burst)
 	}
-	for name := range s.accounts {
-		if _, ok := m.Accounts[name]; !ok {
+	for name, b := range s.accounts {
+		if _, ok := m.Accounts[name]; !ok && !b.ofEndpoint {
 			delete(s.accounts, name)
 		}
 	}
@@ -318,6 +332,10 @@
 }
 
 func (s *State) refill(now time.Time) {
+	if now.Equal(s.refilledAt) {
+		return
+	}
+	s.refilledAt = now
 	s.markSilentPeers(now)
 	reachable, daemons := s.countDaemons()
 	fraction, refillFactor := reachable/daemons, 1.0
@@ -361,7 +379,12 @@
 	unreportedSeconds := propagationDelay.Seconds() * max(1, daemons/propagationDaemons)
 	// The other daemons are assumed to be offered the same load as this one.
 	offeredElsewhere := (daemons - 1) * b.offered / offeredWindow.Seconds() * unreportedSeconds
-	return phase * min(b.account.Burst, max(0, offeredElsewhere-overrunFraction*b.account.Burst))
+	margin := max(0, offeredElsewhere-overrunFraction*b.account.Burst)
+	if !b.ofEndpoint {
+		// An account may always use a full bucket.
+		margin = min(margin, b.account.Burst)
+	}
+	return phase * margin
 }
 
 // recordOffered adds the cost of a request, admitted or not, to the offered cost.
@@ -438,14 +461,21 @@
 // admits all requests of an account that is unknown or has no limit.
 func (s *State) Take(account string, cost float64, now time.Time) Decision {
 	b, ok := s.accounts[account]
-	if !ok {
+	if !ok || b.account.Rate <= 0 {
 		return Decision{Admitted: true}
 	}
-	if b.account.Rate <= 0 {
-		return Decision{Admitted: true}
+	d := s.check(b, cost, now)
+	b.recordOffered(cost, now)
+	if d.Admitted {
+		b.level -= cost
+		s.used[account] += cost
 	}
+	return d
+}
+
+// check decides on a request without deducting its cost.
+func (s *State) check(b *bucket, cost float64, now time.Time) Decision {
 	s.advance(now)
-	defer b.recordOffered(cost, now)
 	// A request larger than the burst needs a full bucket and leaves a negative level.
 	need := min(cost, b.account.Burst)
 	if s.bootstrapping() {
@@ -454,13 +484,14 @@
 	if b.level < need {
 		return refuse(b, need, now)
 	}
-	if needWithMargin := min(need+s.margin(b, now), max(need, b.account.Burst)); b.level < needWithMargin {
-		return refuse(b, needWithMargin, now)
+	needWithMargin := need + s.margin(b, now)
+	if !b.ofEndpoint {
+		needWithMargin = min(needWithMargin, max(need, b.account.Burst))
+	}
+	if b.level < needWithMargin {
+		return refuse(b, min(needWithMargin, max(need, b.account.Burst)), now)
 	}
-	level := b.level
-	b.level -= cost
-	s.used[account] += cost
-	return Decision{Admitted: true, Level: level}
+	return Decision{Admitted: true, Level: b.level}
 }
 
 // refuse returns the refusal of a request that needs the given level.
--- a/entryd/relay/adapter.go
+++ b/entryd/relay/adapter.go
@@ -137,6 +137,10 @@
 		// RejectsUntil is the time until which an endpoint that rejected the request wants no other one
 		// from this daemon; zero if it states none.
 		RejectsUntil time.Time
+		// Limit is the number of requests a second that the endpoint takes from all daemons together, if it
+		// names one. LimitMalformed reports that it names one that can't be read.
+		Limit          value.Option[float64]
+		LimitMalformed bool
 	}
 
 	// Codec translates between the platform's messages and the daemon's types.
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -105,6 +105,7 @@
 		x.log("Not sent.", "Endpoint", endpoint.ID, "Reason", reason)
 		return notSent
 	}
+	x.daemon.tables.markSent(selected.placed)
 	a.endpointConn, a.reused = c, reused
 	a.sentAt = x.daemon.clock.now()
 	_ = c.SetDeadline(x.deadline)
@@ -238,6 +239,9 @@
 	if a.reply.Leaving {
 		fields = append(fields, "SaidLeaving", true)
 	}
+	if limit, limited := a.reply.Limit.Get(); limited {
+		fields = append(fields, "SaidLimit", limit)
+	}
 	x.log("Attempt ended.", fields...)
 	return result
 }
@@ -278,6 +282,8 @@
 	}
 	if reply.Misdirected {
 		a.x.daemon.tables.excludeMisdirected(a.endpoint)
+	} else {
+		a.recordLimit(reply)
 	}
 	if reply.NotRun {
 		a.x.log("Not run.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode, "Misdirected", reply.Misdirected)
@@ -330,6 +336,21 @@
 	}
 }
 
+// recordLimit takes up how many requests the endpoint takes from now on. A limit that can't be read changes nothing.
+func (a *attempt) recordLimit(reply Reply) {
+	if reply.LimitMalformed {
+		a.x.log("Limit malformed.", "Endpoint", a.endpoint.ID)
+		return
+	}
+	d := a.x.daemon
+	if !d.tables.recordLimit(a.endpoint, reply.Limit, d.clock.now()) {
+		return
+	}
+	d.meters.count("Endpoints.Limited")
+	rate, limited := reply.Limit.Get()
+	a.x.log("Endpoint limits requests.", "Endpoint", a.endpoint.ID, "Service", a.endpoint.Service, "Limited", limited, "PerSecond", rate)
+}
+
 // reusable reports whether another request may be sent on the connection: nothing of this request or its response
 // is left on it.
 func (a *attempt) reusable(response *http.Response) bool {
--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -27,6 +27,8 @@
 	orderHistory scale.State
 	// inheritedDemand is the demand that the previous lease holder recorded; 0 if there is none.
 	inheritedDemand float64
+	// limited is the capacity of the endpoints that limit their requests, each as a fraction of an endpoint.
+	limited []float64
 }
 
 const (
@@ -94,6 +96,24 @@
 	return -1
 }
 
+// demandWithLimits returns the demand plus what the limited endpoints can't take of their equal part of it. It is
+// negative if the demand is not known.
+func (p *serviceState) demandWithLimits() float64 {
+	demand := p.estimatedDemand()
+	ready := 0
+	for _, count := range p.ready {
+		ready += count
+	}
+	if demand < 0 || ready == 0 {
+		return demand
+	}
+	part := demand / float64(ready)
+	for _, capacity := range p.limited {
+		demand += max(0, part-capacity)
+	}
+	return demand
+}
+
 // updateDemand updates the demand of each service and reports whether a plan is due. Each hub calls
 // it, so that a new lease holder knows the demand.
 func (c *capacityPlanner) updateDemand() bool {
@@ -113,7 +133,7 @@
 			c.services[name] = p
 		}
 		var work float64
-		p.ready, work = d.tables.serviceState(name, now)
+		p.ready, work, p.limited = d.tables.serviceState(name, now)
 		p.demand = p.demand.With(work, now)
 	}
 	return true
@@ -129,7 +149,7 @@
 			continue
 		}
 		plan := scale.Make(scale.View{
-			Scaling: *service.Scaling, Ready: p.ready, Demand: p.estimatedDemand(), State: p.orderHistory, Now: now,
+			Scaling: *service.Scaling, Ready: p.ready, Demand: p.demandWithLimits(), State: p.orderHistory, Now: now,
 			DiscoveryComplete: d.tables.settled(now),
 		})
 		p.orderHistory = plan.State
@@ -154,7 +174,7 @@
 	now := d.clock.now()
 	fields := []any{
 		"Service", service, "DataCentre", o.DataCentre, "Reclaimable", o.Reclaimable, "Count", o.Count, "Fence", fence,
-		"Demand", p.estimatedDemand(), "Held", plan.TargetTotal, "Base", plan.TargetOnDemand, "Firm", plan.TargetFallback,
+		"Demand", p.estimatedDemand(), "Limited", len(p.limited), "Held", plan.TargetTotal, "Base", plan.TargetOnDemand, "Firm", plan.TargetFallback,
 	}
 	if err != nil {
 		d.meters.count("Orders.Refused")
@@ -166,19 +186,20 @@
 	return p.orderHistory.WithSent(o, now)
 }
 
-// serviceState returns the number of ready endpoints of a service by kind, and the engine time that
-// all daemons have placed there, in seconds.
-func (t *tables) serviceState(service string, now time.Time) (map[scale.Kind]int, float64) {
+// serviceState returns the number of ready endpoints of a service by kind, the engine time that all daemons
+// have placed there, in seconds, and the capacity of those endpoints that limit their requests.
+func (t *tables) serviceState(service string, now time.Time) (ready map[scale.Kind]int, work float64, limited []float64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.refresh(now)
-	ready := map[scale.Kind]int{}
+	ready = map[scale.Kind]int{}
 	for _, e := range t.endpoints {
 		if e.Service == service && e.State == setup.Ready {
 			ready[scale.Kind{DataCentre: e.DataCentre, Reclaimable: e.Reclaimable}]++
 		}
 	}
-	return ready, (t.work[service] + t.peerWork[service] + t.centreWork[service]) / 1000
+	work = (t.work[service] + t.peerWork[service] + t.centreWork[service]) / 1000
+	return ready, work, t.limitedCapacity(service)
 }
 
 // settled reports whether all live endpoints are known, by the time since they were first listed.
--- a/entryd/relay/digest_test.go
+++ b/entryd/relay/digest_test.go
@@ -101,7 +101,7 @@
 	} {
 		now = now.Add(step.pause)
 		hub.observe(message{Daemon: "entry-2", Incarnation: step.incarnation, Work: map[string]int64{"pool": step.placed}}, now.Add(time.Second), now)
-		if _, got := hub.serviceState("pool", now); got != step.want {
+		if _, got, _ := hub.serviceState("pool", now); got != step.want {
 			t.Errorf("step %d: work of %g s, want %g", i, got, step.want)
 		}
 	}
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -53,6 +53,8 @@
 		// service. peerWork and centreWork are those of the followers and of the other data centres
 		// since their first messages arrived here.
 		work, peerWork, centreWork map[string]float64
+		// placed is the number of requests whose engine time is in work, by service.
+		placed map[string]float64
 		// pastUsed is the usage of ended processes of the own data centre, by client account,
 		// pastUsedElsewhere that of the other data centres under their former hubs.
 		pastUsed, pastUsedElsewhere map[string]int64
@@ -113,6 +115,8 @@
 	placement struct {
 		endpoint string
 		load     choice.Load
+		// sent reports whether bytes of the request have gone to the endpoint.
+		sent bool
 		// source is the address of an endpoint that has cached a part of the prompt; empty for none.
 		source string
 	}
@@ -152,7 +156,7 @@
 		usage: usage.New(s.Name, incarnation, window),
 		own:   map[string]choice.Load{}, peers: map[string]peerState{}, centres: map[string]peerState{},
 		pastUsed: map[string]int64{}, pastUsedElsewhere: map[string]int64{},
-		work: map[string]float64{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
+		work: map[string]float64{}, placed: map[string]float64{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{},
 	}
@@ -273,6 +277,7 @@
 			delete(t.records[Endpoints], c.Endpoint.ID)
 		}
 		if c.Reason == roster.Gone || c.Reason == roster.Restarted {
+			t.removeLimit(c.Endpoint.ID)
 			t.prefixTable.dropEndpoint(c.Endpoint.ID)
 		}
 	}
@@ -378,8 +383,8 @@
 	healthy, unhealthy []choice.Candidate
 	// leaving may still have cached a part of the call's prompt.
 	leaving []choice.Candidate
-	// rejecting holds those of the healthy and the unhealthy ones that want no requests of this daemon at present.
-	rejecting map[string]bool
+	// closed holds those of the healthy and the unhealthy ones that want no requests of this daemon at present.
+	closed map[string]bool
 }
 
 // candidates returns the endpoints of the service that may get the call.
@@ -389,6 +394,7 @@
 		memory = s.Engine.KVCacheTokens
 	}
 	loads, parts := t.peerLoads(now), shortParts(r.call.Parts)
+	offered := t.attraction(r.service)
 	found := candidates{healthy: make([]choice.Candidate, 0, len(t.endpoints))}
 	for _, e := range t.endpoints {
 		if e.Service != r.service || r.excludes(e.ID) {
@@ -407,11 +413,16 @@
 			found.leaving = append(found.leaving, c)
 			continue
 		}
-		if now.Before(t.roster.RejectsUntil(e.ID)) {
-			if found.rejecting == nil {
-				found.rejecting = map[string]bool{}
+		until, reason := t.closedUntil(e, offered, now)
+		if r.only != "" && reason == limitReached {
+			// The response has begun there and can go on nowhere else. The request is deducted from the limit.
+			until = time.Time{}
+		}
+		if !until.IsZero() {
+			if found.closed == nil {
+				found.closed = map[string]bool{}
 			}
-			found.rejecting[e.ID] = true
+			found.closed[e.ID] = true
 		}
 		if status.Blocked() {
 			found.unhealthy = append(found.unhealthy, c)
@@ -422,17 +433,17 @@
 	return found
 }
 
-// open returns the candidates that don't reject requests.
+// open returns the candidates that take requests.
 func (c candidates) open(list []choice.Candidate) []choice.Candidate {
-	if len(c.rejecting) == 0 {
+	if len(c.closed) == 0 {
 		return list
 	}
-	return slices.DeleteFunc(slices.Clone(list), func(o choice.Candidate) bool { return c.rejecting[o.ID] })
+	return slices.DeleteFunc(slices.Clone(list), func(o choice.Candidate) bool { return c.closed[o.ID] })
 }
 
-// usable returns the candidates that may get the call: no rejecting ones, and unhealthy ones only if no other
-// is left. In a roll-out the rejecting ones count in the choice of the version. Otherwise a new version that has
-// not been tested would get all requests while those of the old version reject some.
+// usable returns the candidates that may get the call: no closed ones, and unhealthy ones only if no other
+// is left. In a roll-out the closed ones count in the choice of the version. Otherwise a new version that has
+// not been tested would get all requests while those of the old version take none.
 func (t *tables) usable(service string, c candidates, random float64) []choice.Candidate {
 	list := c.healthy
 	if len(c.open(list)) == 0 {
@@ -441,7 +452,7 @@
 	return c.open(t.filterByVersion(service, list, random))
 }
 
-// opensAt returns when the first endpoint of the service takes requests again if all reject them; zero if one
+// opensAt returns when the first endpoint of the service takes requests again if none does now; zero if one
 // takes them or none is known.
 func (t *tables) opensAt(service string, now time.Time) time.Time {
 	t.mutex.Lock()
@@ -452,8 +463,8 @@
 		if e.Service != service || e.State != setup.Ready {
 			continue
 		}
-		until := t.roster.RejectsUntil(e.ID)
-		if !now.Before(until) {
+		until, _ := t.closedUntil(e, 0, now)
+		if until.IsZero() {
 			return time.Time{}
 		}
 		if first.IsZero() || until.Before(first) {
@@ -471,7 +482,8 @@
 }
 
 // withdrawn reports whether an endpoint that was chosen for a request must not get it any more, and why: it rejects
-// requests, is leaving or gone, or another process has its identifier.
+// requests, is leaving or gone, or another process has its identifier. A limit does not count: the request was
+// deducted from it when the endpoint was chosen.
 func (t *tables) withdrawn(chosen setup.Endpoint, now time.Time) (roster.Reason, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -544,10 +556,12 @@
 		if len(r.tried) == 0 && r.only == "" {
 			// A retry adds no demand.
 			t.work[r.service] += engineTimeMS(request, picked.Uncached, endpoint.Slots)
+			t.placed[r.service]++
 		}
 		t.prefixTable.place(endpoint.ID, r.call.Parts, now)
 	}
 	t.own[endpoint.ID] = t.own[endpoint.ID].Plus(p.load)
+	t.quota.CountEndpoint(limitKey(endpoint.ID))
 	t.health, _ = t.health.Update(health.Sent{Time: now, Instance: endpoint.ID})
 	return endpoint, picked, p, true
 }
@@ -611,6 +625,9 @@
 func (t *tables) release(p *placement) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	if !p.sent {
+		t.quota.Return(limitKey(p.endpoint), 1)
+	}
 	rest := t.own[p.endpoint].Minus(p.load)
 	if rest.Requests <= 0 {
 		delete(t.own, p.endpoint)
--- a/entryd/relay/tables_test.go
+++ b/entryd/relay/tables_test.go
@@ -33,7 +33,7 @@
 	tables.observe(message{Daemon: "entry-2", Incarnation: "1", Work: map[string]int64{"pool": 100}}, now.Add(time.Second), now)
 	tables.observe(message{Daemon: "entry-2", Incarnation: "1", Work: map[string]int64{"pool": 600}, Used: map[string]int64{"a": 7}}, now.Add(time.Second), now)
 	tables.observe(message{Daemon: "entry-2", Incarnation: "2"}, now.Add(time.Second), now)
-	ready, work := tables.serviceState("pool", now)
+	ready, work, _ := tables.serviceState("pool", now)
 	if len(ready) != 1 || work < 0.6 || work > 0.7 {
 		t.Errorf("ready endpoints %v with work of %.3f s, want one kind and 0.6 to 0.7 s", ready, work)
 	}
