relay, admit: requests that a stop would cut are refused before or answered at its end (LOST)

During a planned stop, requests were accepted for 2.8 s whatever the grace period. Those still at their endpoint 0.5 s before its end were cut with no answer, among them some that must not repeat; with a grace period of 2 s requests were passed on until the stop itself.

Cause: the drain knew a time for accepting and one for stopping, but no request did. Class of fault: a deadline that is not handed on to the work.

Change: requests are accepted for at most half of the time until the stop. A request, a repeated attempt or a fail-over whose answer would end after it by the predicted wait and the engine's speed is refused as not run, so that another daemon serves it. At the stop, all others end with an answer while their connections are open: 504 if they may have run, 503 if not. Requests whose body is still being read are refused once it is complete, as before.

--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -6,6 +6,8 @@
 // their target. The time that an engine needs for the request's own prompt doesn't count as
 // queueing, so that long prompts are not refused for their length.
 //
+// A daemon that stops refuses what it could not answer completely before: another daemon can.
+//
 // # Usage
 //
 //	decision := admit.Decide(
@@ -29,12 +31,19 @@
 		Left time.Duration
 		// Rank is the rank of the request's route; 0 is the most urgent.
 		Rank int
+		// Answer is the time from the first event to the end of the answer. StopAt is when the daemon stops;
+		// zero if it does not.
+		Answer time.Duration
+		StopAt time.Time
 	}
 
 	// Decision is the result of Decide.
 	Decision struct {
 		Admitted bool
-		// RetryAt is the time at which capacity is expected. It is zero for admitted requests.
+		// Stopping reports that the answer could not be complete before the daemon stops.
+		Stopping bool
+		// RetryAt is the time at which capacity is expected, or at which another daemon can be tried. It is
+		// zero for admitted requests.
 		RetryAt time.Time
 		// Limit is the longest queueing time at which the request is admitted.
 		Limit time.Duration
@@ -56,12 +65,17 @@
 	// patienceDivisor divides the time until the deadline: for longer than the result, callers don't wait
 	// before they retry.
 	patienceDivisor = 3
+	// stopRetryDelay is the time until a request that a stopping daemon refuses is to be sent to another one.
+	stopRetryDelay = 20 * time.Millisecond
 	// deadlineFraction is the fraction of the time until the deadline that the wait may take.
 	deadlineFraction = 0.9
 )
 
 // Decide admits or refuses a request.
 func Decide(r Request, now time.Time) Decision {
+	if !r.StopAt.IsZero() && now.Add(r.Wait+r.Answer).After(r.StopAt) {
+		return Decision{Stopping: true, RetryAt: now.Add(stopRetryDelay)}
+	}
 	fraction := waitFraction - rankFraction*float64(r.Rank)
 	v := Decision{Limit: max(time.Duration(fraction*float64(r.Target))-r.Own, time.Duration(minQueueFraction*float64(r.Target)))}
 	queue := r.Wait - r.Own
--- a/decide/admit/admit_test.go
+++ b/decide/admit/admit_test.go
@@ -20,11 +20,22 @@
 		Rank       int    `yaml:"Rank"`
 		Admitted   bool   `yaml:"Admitted"`
 		RetryAfter int    `yaml:"RetryAfter"`
+		// StopIn is the time until the daemon stops; 0 if it does not. Answer is the time of the answer.
+		StopIn   int  `yaml:"StopIn"`
+		Answer   int  `yaml:"Answer"`
+		Stopping bool `yaml:"Stopping"`
 	}
 	now := time.Unix(1000, 0)
 	ms := func(count int) time.Duration { return time.Duration(count) * time.Millisecond }
 	for _, c := range cases.Load[requestCase](t, "testdata/requests.yaml") {
-		v := Decide(Request{Wait: ms(c.Wait), Own: ms(c.Own), Target: ms(c.Target), Left: ms(c.Left), Rank: c.Rank}, now)
+		r := Request{Wait: ms(c.Wait), Own: ms(c.Own), Target: ms(c.Target), Left: ms(c.Left), Rank: c.Rank, Answer: ms(c.Answer)}
+		if c.StopIn != 0 {
+			r.StopAt = now.Add(ms(c.StopIn))
+		}
+		v := Decide(r, now)
+		if v.Stopping != c.Stopping {
+			t.Errorf("%s: stopping is %v, want the opposite", c.Name, v.Stopping)
+		}
 		if v.Admitted != c.Admitted {
 			t.Errorf("%s: admitted is %v, want the opposite", c.Name, v.Admitted)
 		}
--- a/decide/choice/choice.go
+++ b/decide/choice/choice.go
@@ -98,6 +98,9 @@
 		pace pace.Estimate
 		// cost is the wait plus the cost of moved tokens, in milliseconds.
 		cost float64
+		// Answer is the time in milliseconds that the engine needs for the answer after the first token; 0 for a
+		// plain service.
+		Answer float64
 		// HasCapacity is set if the endpoint has a free slot and enough cache memory.
 		HasCapacity bool
 	}
@@ -225,6 +228,7 @@
 		return p
 	}
 	p.pace = request.Pace
+	p.Answer = p.pace.TokenMS * float64(request.Answer)
 	fetch, transferCost := s.planPrefill(c, &p)
 	wait += fetch
 	wait += c.Load.Reading/p.pace.PrefillPerMS + p.Own()
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -103,6 +103,8 @@
 	d.budget.arrived(x.service, x.arrived)
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
+	// At the end of a stop, the request gets an answer while its connection is still open.
+	defer context.AfterFunc(d.ended, cancel)()
 	defer x.releaseReserved()
 	sends, dials := 0, 0
 	for {
@@ -128,7 +130,11 @@
 			d.meters.count("Callers.Left")
 			panic(http.ErrAbortHandler)
 		case deadlinePassed:
-			x.fail(deadlinePassed, "Deadline")
+			if d.ended.Err() != nil {
+				x.fail(deadlinePassed, "Draining")
+			} else {
+				x.fail(deadlinePassed, "Deadline")
+			}
 			return
 		case notSent:
 			if dials++; dials >= maxDials && !x.reserveSilent(notSent) {
@@ -268,16 +274,29 @@
 	return admit.Decide(admit.Request{
 		Wait: milliseconds(picked.Wait), Own: milliseconds(picked.Own()),
 		Target: x.route.LatencyTarget, Left: x.deadline.Sub(now), Rank: x.route.Priority,
+		Answer: x.answerTime(picked), StopAt: x.daemon.stopTime(),
 	}, now)
 }
 
-// refuseOverload refuses a request that no endpoint has the capacity to serve in time.
+// answerTime returns how long the answer may take after it has begun.
+func (x *exchange) answerTime(picked choice.Picked) time.Duration {
+	if x.engine() == nil {
+		return x.route.LatencyTarget
+	}
+	return milliseconds(picked.Answer)
+}
+
+// refuseOverload refuses a request that no endpoint has the capacity to serve in time, or before the daemon stops.
 func (x *exchange) refuseOverload(verdict admit.Decision, picked choice.Picked) {
+	reason := "Overload"
+	if verdict.Stopping {
+		reason = "Draining"
+	}
 	if x.mayHaveRun || x.failedResponse != nil {
-		x.fail(broken, "Overload")
+		x.fail(broken, reason)
 		return
 	}
-	x.refuse(http.StatusServiceUnavailable, "Overload", verdict.RetryAt, "Predicted", int(picked.Wait),
+	x.refuse(http.StatusServiceUnavailable, reason, verdict.RetryAt, "Predicted", int(picked.Wait),
 		"Limit", verdict.Limit.Milliseconds(), "Load", picked.Candidate.Load.Requests)
 }
 
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -70,6 +70,12 @@
 		draining atomic.Bool
 		// closing is set in the last phase of draining, in which every request is refused.
 		closing atomic.Bool
+		// stopsAt is when a draining daemon ends all requests, in nanoseconds since its start; 0 if it does not
+		// drain. The time of day may jump meanwhile.
+		stopsAt atomic.Int64
+		// ended is done once all requests must end; end does that.
+		ended context.Context
+		end   context.CancelFunc
 		// era is the newest known era of the log; 0 if the log has not reported one.
 		era atomic.Int64
 		// logRestored is set once a new era of the log has begun in the lifetime of this process.
@@ -103,6 +109,9 @@
 	// requests are refused so that another daemon serves them, since a response might not be complete
 	// before the stop.
 	drainAcceptTime = 2800 * time.Millisecond
+	// acceptFraction of the time until the stop is the longest time for which requests are accepted, so that a short
+	// grace period leaves the last of them time to be answered.
+	acceptFraction = 0.5
 	// headerTimeout limits the time for a caller's header, idleTimeout that of a connection without a
 	// request.
 	headerTimeout  = 10 * time.Second
@@ -134,6 +143,7 @@
 		option(d)
 	}
 	d.startedAt = d.clock.now()
+	d.ended, d.end = context.WithCancel(context.Background())
 	d.tables = newTables(settings, d.incarnation)
 	d.pool = newPool()
 	d.budget = newBudget(settings.Limits)
@@ -237,10 +247,12 @@
 	now := d.clock.now()
 	d.lastRequest.Store(now.UnixNano())
 	deadline := now.Add(d.settings.Limits.GracePeriod - drainReserve)
+	d.stopsAt.Store(int64(deadline.Sub(d.startedAt)))
+	acceptUntil := now.Add(min(drainAcceptTime, time.Duration(acceptFraction*float64(deadline.Sub(now)))))
 	d.logger.WithName("daemon").Info("Draining.", "Open", d.openRequests.Load(), "Connections", d.connections.Load(), "Until", deadline)
 	d.leader.resign()
 	for d.clock.now().Before(deadline) {
-		if !d.closing.Load() && d.clock.now().Sub(now) > drainAcceptTime {
+		if !d.closing.Load() && d.clock.now().After(acceptUntil) {
 			d.closing.Store(true)
 			for _, s := range servers {
 				s.SetKeepAlivesEnabled(false)
@@ -252,9 +264,21 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
+	if open := d.openRequests.Load(); open > 0 {
+		d.logger.WithName("daemon").Info("Ending requests.", "Open", open)
+	}
+	d.end()
 	shutDown(servers)
 }
 
+// stopTime returns when a draining daemon ends all requests; zero if it is not draining.
+func (d *Daemon) stopTime() time.Time {
+	if at := d.stopsAt.Load(); at != 0 {
+		return d.startedAt.Add(time.Duration(at))
+	}
+	return time.Time{}
+}
+
 // shutDown waits until the servers have sent their responses, at most flushTime: a request is no longer counted
 // as open once its handler has returned, but its response is flushed after that.
 func shutDown(servers []*http.Server) {
