relay: daemons tell each other the limits of endpoints (LIMIT)

A daemon heard of an endpoint's limit only in a response to itself. In a fleet of 295 daemons each sends one endpoint about one request in 85 s, so that an endpoint in need would have got nearly its usual requests while it named a limit. The rule counts only daemons that have passed the limit on.

Change: digests, sums and totals carry what endpoints have said of their limits within the last 5 s, once a second, with its age; the newest word on an endpoint holds everywhere, also that it names no limit any more. What an ended process has said has no effect.

Evidence: TestLimitReachesAllDaemons (two data centres; without the reports one of six daemons has the limit).

--- a/entryd/relay/digest.go
+++ b/entryd/relay/digest.go
@@ -46,6 +46,7 @@
 	m.Digest, m.Prefixes = true, t.prefixTable.drainOwn()
 	m.LoadsTo = math.MaxUint32
 	m.Poison = t.poisonReport(now)
+	m.Limits = t.limitReports(&t.digestLimits, now)
 	m.Counts = newestWindows(t.usage.Own(), allCounts)
 	return m
 }
@@ -166,6 +167,9 @@
 	p.loads = withLoads(p.loads, m)
 	p.outcomes, p.breaks, p.responses = m.Outcomes, m.Breaks, t.applySuspects(m, now)
 	p.poison = t.applyPoison(m, now)
+	if m.Limits != nil {
+		p.limits = t.applyLimits(m, now)
+	}
 	t.prefixTable.observe(m.Prefixes, m.Digest, now)
 	return p
 }
@@ -238,6 +242,7 @@
 	t.hubState.outcomes, t.hubState.breaks = m.Outcomes, m.Breaks
 	t.applySuspects(m, now)
 	t.applyPoison(m, now)
+	t.applyLimits(m, now)
 	t.prefixTable.observe(m.Prefixes, false, now)
 	if !known {
 		return
@@ -414,6 +419,7 @@
 	defer t.mutex.Unlock()
 	m := t.sumOf(t.ownMessage(now), starting, t.pastUsed, t.peers, now)
 	m.Prefixes, m.Poison = t.prefixTable.drainCentre(), t.poisonReport(now, t.peers)
+	m.Limits = t.limitReports(&t.sumLimits, now, t.peers)
 	for service, work := range t.peerWork {
 		m.Work[service] += int64(work)
 	}
@@ -430,6 +436,7 @@
 	m = t.sumOf(m, false, t.pastUsedElsewhere, t.centres, now)
 	m.Prefixes, m.Work = t.prefixTable.drainAll(), nil
 	m.Poison = t.poisonReport(now, t.peers, t.centres)
+	m.Limits = t.limitReports(&t.totalLimits, now, t.peers, t.centres)
 	t.totalsCursor = m.limitLoads(t.totalsCursor)
 	return m
 }
--- a/entryd/relay/limits.go
+++ b/entryd/relay/limits.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -12,16 +13,39 @@
 )
 
 const (
+	// limitsInterval is the pause between messages of one kind with limits. Each limit is sent while it is younger
+	// than limitTTL, so that a lost message does not matter.
+	limitsInterval = time.Second
+	limitTTL       = 5 * time.Second
+	// noLimit is the rate of a limit that has ended.
+	noLimit = -1
 	// limitBase is the base of the numbers in the quota keys of endpoints, which every digest has.
 	limitBase = 36
 	// limitReached means that an endpoint gets as many requests as it takes.
 	limitReached roster.Reason = "LimitReached"
 )
 
+type (
+	// statedLimit is what an endpoint has said of its limit.
+	statedLimit struct {
+		// rate is the number of requests a second; negative if the endpoint has named no limit.
+		rate float64
+		// saidAt is when a daemon has received that.
+		saidAt time.Time
+	}
+
+	// limitReport is a statedLimit in a message.
+	limitReport struct {
+		_     struct{} `cbor:",toarray"`
+		Rate  float32
+		AgeMS int64
+	}
+)
+
 // limitKey returns the quota key of an endpoint. The names of client accounts have no such first character.
-func limitKey(endpoint string) string {
-	return "\x00" + strconv.FormatUint(uint64(shortID(endpoint)), limitBase)
-}
+func limitKey(endpoint string) string { return shortLimitKey(shortID(endpoint)) }
+
+func shortLimitKey(id uint32) string { return "\x00" + strconv.FormatUint(uint64(id), limitBase) }
 
 // recordLimit records how many requests a second an endpoint takes from all daemons together, or that it names no
 // limit, and reports whether that is news.
@@ -32,28 +56,106 @@
 	if !known || !current.SameProcess(endpoint) {
 		return false
 	}
-	key := limitKey(endpoint.ID)
-	before, limited := t.quota.Limit(key)
+	id := shortID(endpoint.ID)
 	rate, named := limit.Get()
 	if !named {
-		if limited {
-			t.removeLimit(endpoint.ID)
+		if _, everLimited := t.limits[id]; !everLimited {
+			return false
 		}
+		rate = noLimit
+	}
+	stated := statedLimit{rate: rate, saidAt: now}
+	t.ownLimits[id] = stated
+	return t.applyLimit(id, stated, now)
+}
+
+// applyLimit applies what an endpoint has said to some daemon, unless something newer is known, and reports whether the
+// limit has changed. The caller holds the lock.
+func (t *tables) applyLimit(id uint32, stated statedLimit, now time.Time) bool {
+	if last, known := t.limits[id]; known && !stated.saidAt.After(last.saidAt) {
+		return false
+	}
+	t.limits[id] = stated
+	key := shortLimitKey(id)
+	before, limited := t.quota.Limit(key)
+	if stated.rate < 0 {
+		t.quota.Update(quota.EndpointUnlimited{Key: key})
 		return limited
 	}
-	t.quota.Update(quota.EndpointLimited{Key: key, Rate: rate, Now: now})
+	t.quota.Update(quota.EndpointLimited{Key: key, Rate: stated.rate, Now: now})
 	after, stillLimited := t.quota.Limit(key)
 	return limited != stillLimited || before != after
 }
 
-// removeLimit removes the limit of an endpoint with everything that was counted for it. The caller holds the lock.
-func (t *tables) removeLimit(endpoint string) {
-	key := limitKey(endpoint)
+// removeLimit removes the limit of an endpoint whose process has ended, with everything that was counted for it. What the
+// process has said before has no effect any more. The caller holds the lock.
+func (t *tables) removeLimit(endpoint string, now time.Time) {
+	id := shortID(endpoint)
+	delete(t.ownLimits, id)
+	if _, everLimited := t.limits[id]; !everLimited {
+		return
+	}
+	t.limits[id] = statedLimit{rate: noLimit, saidAt: now}
+	key := shortLimitKey(id)
 	t.quota.Update(quota.EndpointUnlimited{Key: key})
 	delete(t.pastUsed, key)
 	delete(t.pastUsedElsewhere, key)
 }
 
+// expireLimits removes what endpoints that are gone have said. The caller holds the lock.
+func (t *tables) expireLimits(now time.Time) {
+	for id, stated := range t.limits {
+		if stated.rate < 0 && now.Sub(stated.saidAt) > 2*limitTTL {
+			delete(t.limits, id)
+		}
+	}
+}
+
+// limitReports returns the limits that this daemon and some peers have heard of, for a message, if one is due since the
+// last message of this kind. The caller holds the lock.
+func (t *tables) limitReports(sentAt *time.Time, now time.Time, peers ...map[string]peerState) map[uint32]limitReport {
+	if now.Sub(*sentAt) < limitsInterval {
+		return nil
+	}
+	*sentAt = now
+	newest := map[uint32]statedLimit{}
+	add := func(id uint32, stated statedLimit) {
+		if now.Sub(stated.saidAt) < limitTTL && stated.saidAt.After(newest[id].saidAt) {
+			newest[id] = stated
+		}
+	}
+	for id, stated := range t.ownLimits {
+		add(id, stated)
+	}
+	for _, states := range peers {
+		for _, p := range states {
+			for id, stated := range p.limits {
+				add(id, stated)
+			}
+		}
+	}
+	reports := make(map[uint32]limitReport, len(newest))
+	for id, stated := range newest {
+		reports[id] = limitReport{Rate: float32(stated.rate), AgeMS: ageMS(stated.saidAt, now)}
+	}
+	return reports
+}
+
+// applyLimits applies the limits in a message and returns them. The caller holds the lock.
+func (t *tables) applyLimits(m message, now time.Time) map[uint32]statedLimit {
+	limits := make(map[uint32]statedLimit, len(m.Limits))
+	for id, r := range m.Limits {
+		if math.IsNaN(float64(r.Rate)) || r.AgeMS < 0 {
+			continue
+		}
+		limits[id] = statedLimit{rate: float64(r.Rate), saidAt: ago(r.AgeMS, now)}
+		if t.shortIDs[id] {
+			t.applyLimit(id, limits[id], now)
+		}
+	}
+	return limits
+}
+
 // closedUntil returns until when an endpoint wants no request of this daemon: it rejects requests, or its limit is
 // reached; zero if it takes one now. offered is the probability that it would get the request. The caller holds the
 // lock.
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -59,6 +59,8 @@
 		AnsweredMS map[suspect.Key]int64 `cbor:"30,keyasint,omitempty"`
 		// Poison holds the parts of prompts that crash endpoints.
 		Poison *poison.Report `cbor:"39,keyasint,omitempty"`
+		// Limits holds the numbers of requests a second that endpoints take, by short identifiers.
+		Limits map[uint32]limitReport `cbor:"43,keyasint,omitempty"`
 		// Outcomes are the outcomes of roll-outs, by service.
 		Outcomes map[string]outcomes `cbor:"21,keyasint,omitempty"`
 		// Recent is the part of Used by processes that have just started, AgeMS the time since the
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -53,6 +53,12 @@
 		// service. peerWork and centreWork are those of the followers and of the other data centres
 		// since their first messages arrived here.
 		work, peerWork, centreWork map[string]float64
+		// limits holds the newest that is known of the limits of endpoints, ownLimits what they have said to this
+		// daemon, both by short identifiers. The times are those of the last messages with limits.
+		limits, ownLimits                    map[uint32]statedLimit
+		digestLimits, sumLimits, totalLimits time.Time
+		// shortIDs are the short identifiers of the endpoints.
+		shortIDs map[uint32]bool
 		// placed is the number of requests whose engine time is in work, by service.
 		placed map[string]float64
 		// pastUsed is the usage of ended processes of the own data centre, by client account,
@@ -105,6 +111,8 @@
 		outcomes map[string]outcomes
 		breaks   map[suspect.Key]int
 		poison   poison.Evidence
+		// limits are those that the peer has heard of.
+		limits map[uint32]statedLimit
 		// responses holds the times of responses to suspect requests.
 		responses map[suspect.Key]time.Time
 		// followUntil is when the daemon stops receiving totals unless it asks again.
@@ -156,7 +164,8 @@
 		usage: usage.New(s.Name, incarnation, window),
 		own:   map[string]choice.Load{}, peers: map[string]peerState{}, centres: map[string]peerState{},
 		pastUsed: map[string]int64{}, pastUsedElsewhere: map[string]int64{},
-		work: map[string]float64{}, placed: map[string]float64{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
+		work: map[string]float64{}, placed: map[string]float64{},
+		limits: map[uint32]statedLimit{}, ownLimits: map[uint32]statedLimit{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{},
 	}
@@ -195,7 +204,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	before, known := t.roster.Position(endpoint.ID)
-	changes := t.updateRoster(roster.Put{Position: record.Position(), Endpoint: endpoint, Now: now})
+	changes := t.updateRoster(roster.Put{Position: record.Position(), Endpoint: endpoint, Now: now}, now)
 	if after, _ := t.roster.Position(endpoint.ID); !known || after != before {
 		t.records[Endpoints][record.Key] = record
 	}
@@ -206,7 +215,7 @@
 func (t *tables) deleteEndpoint(record Record, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.updateRoster(roster.Deleted{Position: record.Position(), ID: record.Key, Now: now})
+	return t.updateRoster(roster.Deleted{Position: record.Position(), ID: record.Key, Now: now}, now)
 }
 
 // applyListing applies the identifiers of all endpoints with records up to the position end.
@@ -216,7 +225,7 @@
 	if !t.listed {
 		t.listed, t.listedAt = true, now
 	}
-	return t.updateRoster(roster.Listed{End: end, IDs: ids, Now: now})
+	return t.updateRoster(roster.Listed{End: end, IDs: ids, Now: now}, now)
 }
 
 // setReachable records whether the log is reachable.
@@ -227,10 +236,10 @@
 		if t.unreachableSince.IsZero() {
 			t.unreachableSince = now
 		}
-		return t.updateRoster(roster.LogLost{Now: now})
+		return t.updateRoster(roster.LogLost{Now: now}, now)
 	}
 	t.unreachableSince = time.Time{}
-	return t.updateRoster(roster.LogRecovered{Now: now})
+	return t.updateRoster(roster.LogRecovered{Now: now}, now)
 }
 
 // recordLogRead records that a daemon has read the endpoints' registrations at a time, and that daemons have read
@@ -238,7 +247,7 @@
 func (t *tables) recordLogRead(since, at time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.updateRoster(roster.LogRead{Since: since, At: at})
+	t.updateRoster(roster.LogRead{Since: since, At: at}, at)
 }
 
 // logReadableSince returns since when daemons have read the endpoints' registrations without an interruption.
@@ -259,7 +268,8 @@
 func (t *tables) tick(now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	changes := t.updateRoster(roster.Tick{Now: now})
+	changes := t.updateRoster(roster.Tick{Now: now}, now)
+	t.expireLimits(now)
 	t.refresh(now)
 	t.health, _ = t.health.Update(health.Tick{Time: now})
 	t.prefixTable.expire(now)
@@ -268,7 +278,7 @@
 }
 
 // updateRoster updates the roster and removes the state of endpoints that changed.
-func (t *tables) updateRoster(m roster.Message) []roster.Change {
+func (t *tables) updateRoster(m roster.Message, now time.Time) []roster.Change {
 	var changes []roster.Change
 	t.roster, changes = t.roster.Update(m)
 	for _, c := range changes {
@@ -277,7 +287,7 @@
 			delete(t.records[Endpoints], c.Endpoint.ID)
 		}
 		if c.Reason == roster.Gone || c.Reason == roster.Restarted {
-			t.removeLimit(c.Endpoint.ID)
+			t.removeLimit(c.Endpoint.ID, now)
 			t.prefixTable.dropEndpoint(c.Endpoint.ID)
 		}
 	}
@@ -293,12 +303,14 @@
 	t.stale = false
 	t.endpoints = t.roster.Endpoints()
 	t.endpointsHash, t.endpointHashes = 0, rosterHashes{}
+	t.shortIDs = make(map[uint32]bool, len(t.endpoints))
 	var members []health.Member
 	for _, e := range t.endpoints {
 		// What an endpoint has said to this daemon alone is no difference from the records of others.
 		hash := xxhash.Sum64String(fmt.Sprint(e.ID, e.Address, t.roster.RegisteredState(e.ID), e.StartedAtMS))
 		t.endpointsHash ^= hash
 		t.endpointHashes[bucketOf(e.ID)] ^= hash
+		t.shortIDs[shortID(e.ID)] = true
 		members = append(members, health.Member{Instance: e.ID, DataCentre: e.DataCentre, Routes: []string{e.Service}, Incarnation: e.StartedAtMS})
 	}
 	t.health, _ = t.health.Update(health.Listing{Time: now, Endpoints: members})
@@ -308,7 +320,7 @@
 func (t *tables) removeGone(record Record, now time.Time) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.updateRoster(roster.Removed{Position: record.Position(), ID: record.Key, Now: now})
+	return t.updateRoster(roster.Removed{Position: record.Position(), ID: record.Key, Now: now}, now)
 }
 
 // changesMessage returns a message with changes of endpoints.
@@ -661,7 +673,10 @@
 func (t *tables) recordLeaving(endpoint setup.Endpoint) []roster.Change {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.updateRoster(roster.LeavingAnnounced{Endpoint: endpoint})
+	var changes []roster.Change
+	t.roster, changes = t.roster.Update(roster.LeavingAnnounced{Endpoint: endpoint})
+	t.stale = t.stale || len(changes) > 0
+	return changes
 }
 
 // recordRejection records until when an endpoint wants no requests, and reports whether it took them before.
