quota, roster, relay: found by reading the change

A daemon that leaves a request to others told callers to come back at once; it names 0.1 s at least. One delay for requests that a stopping daemon refuses instead of two. Endpoints are not looked up in the quota while none has a limit.

--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -65,8 +65,8 @@
 	// patienceDivisor divides the time until the deadline: for longer than the result, callers don't wait
 	// before they retry.
 	patienceDivisor = 3
-	// stopRetryDelay is the time until a request that a stopping daemon refuses is to be sent to another one.
-	stopRetryDelay = 20 * time.Millisecond
+	// StopRetryDelay is the time until a request that a stopping daemon refuses is to be sent to another one.
+	StopRetryDelay = 20 * time.Millisecond
 	// deadlineFraction is the fraction of the time until the deadline that the wait may take.
 	deadlineFraction = 0.9
 )
@@ -74,7 +74,7 @@
 // Decide admits or refuses a request.
 func Decide(r Request, now time.Time) Decision {
 	if !r.StopAt.IsZero() && now.Add(r.Wait+r.Answer).After(r.StopAt) {
-		return Decision{Stopping: true, RetryAt: now.Add(stopRetryDelay)}
+		return Decision{Stopping: true, RetryAt: now.Add(StopRetryDelay)}
 	}
 	fraction := waitFraction - rankFraction*float64(r.Rank)
 	v := Decision{Limit: max(time.Duration(fraction*float64(r.Target))-r.Own, time.Duration(minQueueFraction*float64(r.Target)))}
--- a/decide/quota/endpoint.go
+++ b/decide/quota/endpoint.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -35,6 +36,9 @@
 	// minLimit is the lowest limit in requests a second. An endpoint that takes none would get no request in
 	// whose response it could name another limit.
 	minLimit = 0.1
+	// minTurnDelay is the shortest time after which a daemon that has to leave a request to others is told to come
+	// back.
+	minTurnDelay = 100 * time.Millisecond
 	// maxLimit is the limit in requests a second from which an endpoint counts as unlimited.
 	maxLimit = 1e6
 )
@@ -64,7 +68,11 @@
 		return Decision{Admitted: true}
 	}
 	b.recordOffered(offered, now)
-	return s.check(b, 1, now)
+	d := s.check(b, 1, now)
+	if !d.Admitted {
+		d.RetryAt = value.Later(d.RetryAt, now.Add(minTurnDelay))
+	}
+	return d
 }
 
 // CountEndpoint deducts a request to an endpoint, also one beyond its limit.
--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -216,7 +216,7 @@
 	}
 	e := entry{endpoint: m.Endpoint, position: m.Position, present: true}
 	if exists && old.endpoint.SameProcess(m.Endpoint) {
-		e.announced, e.rejectsUntil = old.announced || old.endpoint.State == setup.Leaving, old.rejectsUntil
+		e.announced, e.rejectsUntil = old.announced || m.Endpoint.StartedAtMS > 0 && old.endpoint.State == setup.Leaving, old.rejectsUntil
 	}
 	s.entries[m.Endpoint.ID] = e
 	switch {
@@ -273,12 +273,13 @@
 
 // accepts reports whether a record is newer than the one that is known. In a new era it may come from the
 // copy from which the log was restored, so that its position says nothing. Within an era, the log may append a
-// record of the same process late, after records that the process has written since.
+// record of the same process late, after records that the process has written since. Without a time of the start, a
+// lower sequence number may also be that of a new process.
 func (e entry) accepts(m Put) bool {
 	if m.Position.Era > e.position.Era {
 		return m.Endpoint.After(e.endpoint)
 	}
-	if e.endpoint.SameProcess(m.Endpoint) && m.Endpoint.Sequence < e.endpoint.Sequence {
+	if m.Endpoint.StartedAtMS > 0 && e.endpoint.SameProcess(m.Endpoint) && m.Endpoint.Sequence < e.endpoint.Sequence {
 		return false
 	}
 	return e.position.Before(m.Position)
--- a/entryd/relay/limits.go
+++ b/entryd/relay/limits.go
@@ -163,6 +163,9 @@
 	if until := t.roster.RejectsUntil(e.ID); now.Before(until) {
 		return until, roster.Rejecting
 	}
+	if len(t.limits) == 0 {
+		return time.Time{}, ""
+	}
 	if d := t.quota.CheckEndpoint(limitKey(e.ID), offered, now); !d.Admitted {
 		return d.RetryAt, limitReached
 	}
@@ -172,6 +175,9 @@
 // attraction returns the fraction of a service's requests that one of its endpoints may attract. The caller holds the
 // lock.
 func (t *tables) attraction(service string) float64 {
+	if len(t.limits) == 0 {
+		return 0
+	}
 	count := 0
 	for _, e := range t.endpoints {
 		if e.Service == service && e.State == setup.Ready {
--- a/entryd/relay/server.go
+++ b/entryd/relay/server.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -16,8 +17,6 @@
 	// noConfigRetryDelay is the delay after which a caller may retry at a daemon without a
 	// configuration.
 	noConfigRetryDelay = 300 * time.Millisecond
-	// drainRetryDelay is the delay after which a caller may retry at another daemon.
-	drainRetryDelay = 20 * time.Millisecond
 )
 
 // serveReady answers the balancer's health checks.
@@ -89,7 +88,7 @@
 	now := d.clock.now()
 	cost := x.account.Cost(x.call.PromptTokens + x.call.AnswerTokens)
 	if d.closing.Load() {
-		x.refuse(http.StatusServiceUnavailable, "Draining", now.Add(drainRetryDelay))
+		x.refuse(http.StatusServiceUnavailable, "Draining", now.Add(admit.StopRetryDelay))
 		return false
 	}
 	verdict := d.tables.takeAllowance(x.account.Name, cost, now)
