hubs: a reader that can't read gives way before the hubs that it informed (QUOTA)

The former waits hid that the two limits are the same.

Change: a hub without an own read for two seconds is not the reader any more; the limit for hubs stays at three. Evidence: TestReaderGivesWayBeforeHubs failed before. The model's age of reads follows the code.

--- a/decide/hubs/hubs.go
+++ b/decide/hubs/hubs.go
@@ -128,6 +128,10 @@
 	// readTTL is how long a read of the log counts, not counting the interval of messages: the reader
 	// reads at least every two seconds.
 	readTTL = 3 * time.Second
+	// readerTTL is how long an own read makes a hub the reader, not counting the interval of messages: other hubs
+	// read before. It ends before readTTL, so that the next reader informs a hub that can't read in time;
+	// a hub that is replaced instead takes its place back once it is informed, again and again.
+	readerTTL = 2 * time.Second
 	// minReadSpan is how long a daemon must have read the log before it replaces a hub that can't.
 	// After an outage of the log the hub reads again within that time.
 	minReadSpan = time.Second
@@ -316,7 +320,7 @@
 // reads. ok is false if no hub has read the log lately; then each hub tries.
 func (s *State) Reader(now time.Time) (reader Report, ok bool) {
 	for _, h := range s.Hubs(now) {
-		if now.Sub(h.OwnReadAt) >= s.readGap() {
+		if now.Sub(h.OwnReadAt) >= readerTTL+2*s.Interval() {
 			continue
 		}
 		if !ok || reader.HoldsLease && !h.HoldsLease || reader.HoldsLease == h.HoldsLease && ranksBefore(h, reader) {
--- a/decide/hubs/hubs_test.go
+++ b/decide/hubs/hubs_test.go
@@ -38,6 +38,9 @@
 		// the reader informs it as a hub.
 		informedAt, readerReadAt, ownReadAt time.Time
 		sent, reads                         int
+		// hub is the last hub, changes counts its changes.
+		hub     string
+		changes int
 	}
 
 	script struct {
@@ -56,7 +59,8 @@
 		RestartAll bool   `yaml:"RestartAll"`
 		// Split cuts the first daemons of each data centre off from the rest; 0 ends it.
 		Split *int `yaml:"Split"`
-		// Reject lists daemons whose reads the log rejects; "hub" stands for that of centre-0.
+		// Reject lists daemons whose reads the log rejects; "hub" stands for that of centre-0, "reader" for the hub that
+		// reads for the others, a data centre for its hub.
 		Reject      []string `yaml:"Reject"`
 		RejectNone  bool     `yaml:"RejectNone"`
 		LogDown     *bool    `yaml:"LogDown"`
@@ -68,6 +72,8 @@
 		Agree bool `yaml:"Agree"`
 		// Informed checks that each live daemon has the records of a read in the last seconds.
 		Informed bool `yaml:"Informed"`
+		// Steady checks that no daemon changes its hub in the step.
+		Steady bool `yaml:"Steady"`
 		// Readers is the number of daemons that read the log in the step; 0 checks nothing.
 		Readers int `yaml:"Readers"`
 		// Hub checks the hub of a data centre: its name, then that of the hub.
@@ -79,7 +85,7 @@
 	tick = 20 * time.Millisecond
 	// maxAge is the age of a hub's reads above which a daemon reads the log itself, readInterval the
 	// pause between two reads.
-	maxAge       = 1900 * time.Millisecond
+	maxAge       = 1500 * time.Millisecond
 	readInterval = 700 * time.Millisecond
 	followTTL    = 2 * time.Second
 )
@@ -196,6 +202,10 @@
 			}
 			if !f.now.Before(d.nextAt) {
 				f.read(d)
+				if hub, _ := d.state.Hub(f.now); hub.Name != d.hub {
+					d.hub = hub.Name
+					d.changes++
+				}
 				d.nextAt = d.nextAt.Add(d.state.Interval())
 				f.send(d)
 			}
@@ -205,7 +215,7 @@
 
 func (f *fleet) apply(s step) {
 	for _, d := range f.daemons {
-		d.sent, d.reads = 0, 0
+		d.sent, d.reads, d.changes = 0, 0, 0
 	}
 	switch {
 	case s.StopHub != "":
@@ -236,6 +246,11 @@
 	for _, name := range s.Reject {
 		if name == "hub" {
 			name = f.hubOf("centre-0")
+		} else if name == "reader" {
+			reader, _ := f.daemons[0].state.Reader(f.now)
+			name = reader.Name
+		} else if _, ok := f.byName[name]; !ok {
+			name = f.hubOf(name)
 		}
 		f.byName[name].rejected = true
 	}
@@ -269,6 +284,9 @@
 		if d.down {
 			continue
 		}
+		if s.Steady && d.changes > 0 {
+			t.Errorf("step %d: %s has changed its hub %d times", number, d.name, d.changes)
+		}
 		hub, _ := d.state.Hub(f.now)
 		if s.Agree {
 			side := fmt.Sprint(d.centre, " on side ", f.side[d.name])
@@ -353,3 +371,31 @@
 	}
 	return a
 }
+
+// TestReaderGivesWayBeforeHubs guards against hubs that change several times a second in a partition, so that shares of
+// allowances are lost (QUOTA): a reader that could no longer read stayed the reader for as long as a hub without a
+// recent read stayed a hub, and the hubs that it had informed were replaced before the next reader informed them.
+func TestReaderGivesWayBeforeHubs(t *testing.T) {
+	start := time.Unix(1000, 0)
+	member := func(name, centre string) Member {
+		return Member{Name: name, DataCentre: centre, Speed: 1, Incarnation: "1"}
+	}
+	s := New(member("entry-0", "centre-0"))
+	for age := time.Duration(0); age < 10*time.Second; age += tick {
+		now := start.Add(age)
+		// The faster daemon is the reader; it can't read after the start, and the other hub reads all the time.
+		lost := Report{Member: member("entry-1", "centre-1"), ReadAt: start, OwnReadAt: start}
+		lost.Speed = 2
+		s.Observe(lost, now)
+		s.Observe(Report{Member: member("entry-2", "centre-2"), ReadAt: now, OwnReadAt: now}, now)
+		reader, ok := s.Reader(now)
+		hub := s.Hubs(now)["centre-1"]
+		if !s.informed(hub, now) {
+			t.Fatalf("after %v the hub has no recent read, and %s became the reader only now", age, reader.Name)
+		}
+		if ok && reader.Name == "entry-2" {
+			return
+		}
+	}
+	t.Error("the reader that can't read is not replaced")
+}
