--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -76,6 +76,13 @@
 	}
 }
 
+// inRotation reports whether the balancer sends new channels to a daemon.
+func (c *clients) inRotation(d *daemon) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return d.rotation
+}
+
 // pick returns a daemon in rotation, or any one if none is.
 func (c *clients) pick() *daemon {
 	c.mutex.Lock()
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -15,8 +15,9 @@
 )
 
 var cases = map[string]func(rec *record, program string, trouble bool) (broken bool, err error){
-	"rollout": runRollout,
-	"again":   runAgain,
+	"rollout":  runRollout,
+	"pipeline": runPipeline,
+	"memory":   runMemory,
 }
 
 func main() {
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -29,8 +30,6 @@
 	runs              int
 	stop              chan struct{}
 	ended             bool
-	// failing replicas answer each request with an error.
-	failing bool
 }
 
 const (
@@ -47,6 +46,9 @@
 	drainDuration = 2 * time.Second
 )
 
+// registeredSlots is the number of slots in the replicas' entries.
+var registeredSlots = replicaSlots
+
 func startReplica(rec *record, s *store, id, version, zone string) (*replica, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -73,7 +75,7 @@
 	}
 	r.sequence++
 	value, _ := json.Marshal(map[string]any{
-		"service": service, "address": r.address, "zone": r.zone, "version": r.version, "slots": replicaSlots, "state": r.state,
+		"service": service, "address": r.address, "zone": r.zone, "version": r.version, "slots": registeredSlots, "state": r.state,
 		"cold_remaining_ms": 0, "sequence": r.sequence, "born": r.born,
 	})
 	r.store.put(name("servers"), r.id, value)
@@ -140,6 +142,10 @@
 	if err != nil {
 		return
 	}
+	if c, ok := streamClass(q.URL.Path); ok {
+		r.stream(w, q, id, c, len(body))
+		return
+	}
 	select {
 	case r.queue <- struct{}{}:
 		defer func() { <-r.queue }()
@@ -168,9 +174,42 @@
 		share = safeErrors
 	}
 	w.Header().Set(name("signature"), fmt.Sprintf("%s.%s", r.id, id))
-	if r.failing || rand.Float64() < share {
+	if rand.Float64() < share {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	_, _ = w.Write([]byte(strings.Repeat("x", answerBytes)))
 }
+
+// eventPause is the time of an event of five tokens, and prefillPerMS the prompt tokens that are read in a millisecond.
+const (
+	eventPause   = 20 * time.Millisecond
+	prefillPerMS = 44.2
+)
+
+// streamClass returns the class of a path of the engine's routes.
+func streamClass(path string) (class, bool) {
+	for _, c := range classes {
+		if strings.HasPrefix(path, c.path) {
+			return c, true
+		}
+	}
+	return class{}, false
+}
+
+// stream answers with a series of events.
+func (r *replica) stream(w http.ResponseWriter, q *http.Request, id string, c class, length int) {
+	r.rec.add("run %s at %s (%s) body=%d", id, r.id, r.version, length)
+	time.Sleep(time.Duration(float64(c.prompt) / 2 / prefillPerMS * float64(time.Millisecond)))
+	w.Header().Set(name("signature"), fmt.Sprintf("%s.%s", r.id, id))
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(q.Header.Get(name("lastevent")))
+	for event := last + 1; event <= c.events; event++ {
+		if q.Context().Err() != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", event)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(eventPause)
+	}
+}
--- a/review/stand/rollout.go
+++ b/review/stand/rollout.go
@@ -23,7 +23,7 @@
 	downTime    = time.Second
 	recoverTime = 12 * time.Second
 	// observeTime is how long requests are counted after that.
-	observeTime = 42 * time.Second
+	observeTime = 64 * time.Second
 	settledTime = 4 * time.Second
 )
 
@@ -150,3 +150,16 @@
 	rec.say("later than %v after the machines are back: %d of %d served", recoverTime, served, sent)
 	return served*4 < sent, nil
 }
+
+// startGroup starts a replica of a version in each zone.
+func startGroup(rec *record, s *store, version, prefix string) ([]*replica, error) {
+	var list []*replica
+	for i, z := range zones {
+		r, err := startReplica(rec, s, fmt.Sprintf("i-%s-%d", prefix, i), version, z.name)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, r)
+	}
+	return list, nil
+}
