--- a/review/stand/bed.go
+++ b/review/stand/bed.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -112,15 +111,20 @@
 	return nil
 }
 
-// traffic starts the clients of the plain service at the small site's rates.
-func (b *bed) traffic(ctx context.Context) {
-	go b.clients.balance(ctx)
-	go b.clients.run(ctx, unsafePerSecond, false)
-	go b.clients.run(ctx, safePerSecond, true)
-}
-
-// The rates are those of place-order and order-status on the small site, requests a second.
 const (
-	unsafePerSecond = 28.7
-	safePerSecond   = 11.5
+	oldVersion  = "v1"
+	settledTime = 4 * time.Second
 )
+
+// startGroup starts a replica of a version in each zone.
+func startGroup(rec *record, s *store, version, prefix string) ([]*replica, error) {
+	var list []*replica
+	for i, z := range zones {
+		r, err := startReplica(rec, s, fmt.Sprintf("i-%s-%d", prefix, i), version, z.name)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, r)
+	}
+	return list, nil
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -15,7 +15,6 @@
 )
 
 var cases = map[string]func(rec *record, program string, trouble bool) (broken bool, err error){
-	"rollout":  runRollout,
 	"pipeline": runPipeline,
 	"memory":   runMemory,
 }
--- a/review/stand/pipeline.go
+++ b/review/stand/pipeline.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	_ "embed"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +16,9 @@
 	"time"
 )
 
+//go:embed config.json
+var baseConfig string
+
 const (
 	// batch is the number of requests that a client writes at once on a kept channel. All of them fit into one read.
 	batch = 8
--- a/review/stand/replica.go
+++ b/review/stand/replica.go
@@ -29,21 +29,19 @@
 	sequence          int64
 	runs              int
 	stop              chan struct{}
-	ended             bool
 }
 
 const (
-	service       = "order-desk"
-	replicaSlots  = 6
-	replicaQueue  = 24
-	heartbeat     = 1200 * time.Millisecond
-	answerBytes   = 800
-	meanWork      = 60 * time.Millisecond
-	unsafeErrors  = 0.004
-	safeErrors    = 0.14
-	unsafePrefix  = "/order/"
-	safePrefix    = "/status/"
-	drainDuration = 2 * time.Second
+	service      = "order-desk"
+	replicaSlots = 6
+	replicaQueue = 24
+	heartbeat    = 1200 * time.Millisecond
+	answerBytes  = 800
+	meanWork     = 60 * time.Millisecond
+	unsafeErrors = 0.004
+	safeErrors   = 0.14
+	unsafePrefix = "/order/"
+	safePrefix   = "/status/"
 )
 
 // registeredSlots is the number of slots in the replicas' entries.
@@ -70,9 +68,6 @@
 func (r *replica) register() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.ended {
-		return
-	}
 	r.sequence++
 	value, _ := json.Marshal(map[string]any{
 		"service": service, "address": r.address, "zone": r.zone, "version": r.version, "slots": registeredSlots, "state": r.state,
@@ -94,32 +89,6 @@
 	}
 }
 
-// kill ends the replica at once, without draining, and removes its entry.
-func (r *replica) kill() {
-	r.mutex.Lock()
-	if r.ended {
-		r.mutex.Unlock()
-		return
-	}
-	r.ended = true
-	close(r.stop)
-	r.mutex.Unlock()
-	_ = r.server.Close()
-	r.store.put(name("servers"), r.id, nil)
-	r.rec.say("replica %s (%s) has ended", r.id, r.version)
-}
-
-// drain reports that the replica leaves, serves for the drain time and a little longer, and ends.
-func (r *replica) drain() {
-	r.mutex.Lock()
-	r.state = "draining"
-	r.mutex.Unlock()
-	r.register()
-	r.rec.say("replica %s (%s) drains", r.id, r.version)
-	time.Sleep(drainDuration + 500*time.Millisecond)
-	r.kill()
-}
-
 // refuse answers that the request was not run.
 func (r *replica) refuse(w http.ResponseWriter, status int) {
 	w.Header().Set(name("notrun"), "1")
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -19,8 +19,6 @@
 		topics  map[string]*topic
 		era     int64
 		changed chan struct{}
-		// onAppend, if set, is called for each record that a daemon appends.
-		onAppend func(topic, key string, value []byte)
 	}
 
 	topic struct {
@@ -119,9 +117,6 @@
 	}
 	offset := s.append(topicName, key, value)
 	s.mutex.Unlock()
-	if s.onAppend != nil {
-		s.onAppend(topicName, key, value)
-	}
 	s.answer(w, http.StatusOK, era, map[string]int64{"offset": offset, "end_offset": offset + 1})
 }
 
