--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -225,6 +225,10 @@
 	if result != notRun {
 		x.mayHaveRun = true
 	}
+	if result == broken {
+		// The answer of a request that ran may be lost. Of the requests at an endpoint that crashes, few wait to be run.
+		x.countUsage()
+	}
 	x.daemon.tables.recordAttempt(x.suspect, result, x.daemon.clock.now())
 	a.recordParts(result, x.daemon.clock.now())
 	a.recordUnanswered(result, x.daemon.clock.now())
