pace, choice, relay: the speed of each endpoint

Engines of one service may differ in speed by more than two times without saying so. One speed for all makes predictions wrong by the same ratio, and gives slow engines as many requests as fast ones.

decide/pace estimates a factor for each endpoint from what daemons observe there (times between tokens, to the first token at lightly loaded engines, of plain services). Observations are bounded in the log domain and in their weight per second, so that slow phases and queues don't tell endpoints apart; the fit uses times at the usual speed. If the endpoints of a service lie within 15% of each other, nothing changes for it. decide/choice predicts with the candidate's own speed, weights the homes of sessions by speed, and compares engines by their queues unless one is too slow for the target. Followers report observations in digests, hubs exchange them in sums and tell factors in totals, a byte and a key for each endpoint, in rotation. A restart changes the key.

--- a/decide/choice/choice.go
+++ b/decide/choice/choice.go
@@ -9,6 +9,9 @@
 // session's shared parts, the first engine in the rendezvous order of the session is preferred, so that
 // all daemons send the session to the same engine as long as it is not much busier than the others.
 //
+// Endpoints may differ in speed. A wait is predicted with the candidate's own speed, and an engine is the first in the
+// order of as many sessions as its speed allows.
+//
 // # Usage
 //
 //	picked, ok := choice.Pick(request, candidates, random)
@@ -45,7 +48,7 @@
 		FetchPerMS float64
 		// Sources are endpoints that receive no more requests but may have a part of the prompt cached.
 		Sources []Candidate
-		// Pace is the speed of the engines; the zero value stands for pace.Default.
+		// Pace is the usual speed of the endpoints; the zero value stands for pace.Default.
 		Pace pace.Estimate
 		// Target is the time in milliseconds within which the answer should begin.
 		Target float64
@@ -81,6 +84,8 @@
 		Local bool
 		// Penalty is added to the predicted wait, in milliseconds, as far as other candidates have less.
 		Penalty float64
+		// Speed is the endpoint's speed as a multiple of the usual one; 0 if the endpoints of the service don't differ.
+		Speed float64
 	}
 
 	// Picked is the choice with its prediction.
@@ -96,6 +101,10 @@
 		Fetched int
 		// pace is the speed of the endpoint's engine.
 		pace pace.Estimate
+		// plainOwn is the time that a slow endpoint of a plain service takes longer than the usual one, in milliseconds.
+		plainOwn float64
+		// lateness is the time in milliseconds by which a slow engine's time for the request exceeds what the target allows.
+		lateness float64
 		// cost is the wait plus the cost of moved tokens, in milliseconds.
 		cost float64
 		// Answer is the time in milliseconds that the engine needs for the answer after the first token; 0 for a
@@ -106,6 +115,14 @@
 	}
 )
 
+// speed returns the candidate's speed as a multiple of the usual one.
+func (c Candidate) speed() float64 {
+	if c.Speed == 0 {
+		return 1
+	}
+	return c.Speed
+}
+
 // Plus returns the sum of two loads.
 func (l Load) Plus(o Load) Load {
 	return Load{Requests: l.Requests + o.Requests, Reading: l.Reading + o.Reading, Memory: l.Memory + o.Memory}
@@ -123,6 +140,11 @@
 	plainRequestMS = 50
 	// remotePenaltyMS is the penalty for another data centre: network delay and the price of traffic.
 	remotePenaltyMS = 3
+	// ownFraction is the fraction of the target that an engine of known speed may need for the request itself before it
+	// is avoided for its slowness; all candidates are compared if those of the sample are all too slow. Within it, engines are compared by their queues and the request's time at the usual
+	// speed: if each daemon sent each request to the fastest engines, these would have the longest queues before the
+	// next digests.
+	ownFraction = 0.3
 	// nearBestMS is the range above the lowest cost within which the choice is random.
 	nearBestMS = 8
 	// sampleSize is the number of candidates that are sampled and compared. If all daemons compared
@@ -152,7 +174,7 @@
 	picked := s.cheapest(candidates, random, func(i int) bool {
 		return slices.Contains(sampled[:], i) || candidates[i].ID == s.homeID || candidates[i].Cached > 0
 	})
-	if picked.Queue() > maxQueueFraction*request.Target || request.Admits != nil && !request.Admits(picked) {
+	if picked.lateness > 0 || picked.Queue() > maxQueueFraction*request.Target || request.Admits != nil && !request.Admits(picked) {
 		picked = s.cheapest(candidates, random, func(int) bool { return true })
 	}
 	return picked, true
@@ -163,17 +185,27 @@
 
 // Running returns the part of the predicted wait, in milliseconds, that is due to the requests that run
 // at the endpoint.
-func (p Picked) Running() float64 { return runningRequestMS * float64(p.Candidate.Load.Requests) }
+func (p Picked) Running() float64 {
+	return runningRequestMS * float64(p.Candidate.Load.Requests) / p.Candidate.speed()
+}
 
 // Own returns the time in milliseconds that the engine needs for the request itself until its first
 // token.
 func (p Picked) Own() float64 {
 	if p.pace.PrefillPerMS == 0 {
-		return 0
+		return p.plainOwn
 	}
 	return p.pace.FirstMS + float64(p.Uncached)/p.pace.PrefillPerMS
 }
 
+// Extra returns the part of the predicted wait, in milliseconds, that was learnt from earlier predictions.
+func (p Picked) Extra() float64 {
+	if p.Candidate.Speed == 0 {
+		return 0
+	}
+	return p.pace.ExtraMS
+}
+
 // Attraction returns the fraction of a service's requests that one of its endpoints gets at most while it is the least
 // loaded one.
 func Attraction(endpoints int) float64 {
@@ -212,6 +244,14 @@
 	return near[min(int(random()*float64(len(near))), len(near)-1)]
 }
 
+// plainMS returns the usual time that a request to a plain service occupies a slot.
+func (r Request) plainMS(c Candidate) float64 {
+	if c.Speed == 0 || r.Pace.PlainMS == 0 {
+		return plainRequestMS
+	}
+	return r.Pace.PlainMS
+}
+
 // predict returns the predicted wait and cost of the request at a candidate.
 func (s selection) predict(c Candidate) Picked {
 	request := s.request
@@ -222,12 +262,17 @@
 	}
 	excess := max(0, c.Load.Requests+1-c.Slots)
 	if !request.Model {
-		wait += plainRequestMS * float64(c.Load.Requests) / float64(max(c.Slots, 1))
-		wait += plainRequestMS * float64(excess) / float64(max(c.Slots, 1))
-		p.Wait, p.cost = wait, wait
+		usual := request.plainMS(c)
+		own := usual / c.speed()
+		wait += own * float64(c.Load.Requests) / float64(max(c.Slots, 1))
+		wait += own * float64(excess) / float64(max(c.Slots, 1))
+		// The time of the request itself counts as far as it differs from the usual one. A shorter one is no
+		// reason to admit the request behind others.
+		p.plainOwn = max(own-usual, 0)
+		p.Wait, p.cost = wait+p.plainOwn, wait+own-usual
 		return p
 	}
-	p.pace = request.Pace
+	p.pace = request.Pace.At(c.Speed)
 	p.Answer = p.pace.TokenMS * float64(request.Answer)
 	fetch, transferCost := s.planPrefill(c, &p)
 	wait += fetch
@@ -244,5 +289,10 @@
 		}
 	}
 	p.Wait, p.cost = wait, wait+transferCost
+	if c.Speed > 0 {
+		usual := request.Pace.FirstMS + float64(p.Uncached)/request.Pace.PrefillPerMS
+		p.lateness = max(0, usual/c.Speed-max(usual, ownFraction*request.Target))
+		p.cost += usual - p.Own() + p.lateness
+	}
 	return p
 }
--- a/decide/choice/choice_test.go
+++ b/decide/choice/choice_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"lentilstage.dev/decide/cases"
+	"lentilstage.dev/decide/pace"
 )
 
 type (
@@ -22,7 +23,9 @@
 		Leaving map[string]candidate `yaml:"Leaving"`
 		// Fetch is the number of tokens that engines fetch from each other per millisecond.
 		Fetch float64 `yaml:"Fetch"`
-		Want  string  `yaml:"Want"`
+		// Target is the time in milliseconds within which the answer should begin.
+		Target float64 `yaml:"Target"`
+		Want   string  `yaml:"Want"`
 		// Source and Fetched are the expected fetch of the picked endpoint.
 		Source  string `yaml:"Source"`
 		Fetched int    `yaml:"Fetched"`
@@ -36,6 +39,7 @@
 		Local    bool    `yaml:"Local"`
 		Version  string  `yaml:"Version"`
 		Penalty  float64 `yaml:"Penalty"`
+		Speed    float64 `yaml:"Speed"`
 	}
 )
 
@@ -43,7 +47,7 @@
 func TestPicks(t *testing.T) {
 	for _, p := range cases.Load[pick](t, "testdata/picks.yaml") {
 		request := Request{
-			Prompt: p.Prompt, Answer: 50, Model: p.Model, FetchPerMS: p.Fetch, Sources: p.candidates(p.Leaving),
+			Prompt: p.Prompt, Answer: 50, Model: p.Model, FetchPerMS: p.Fetch, Target: p.Target, Sources: p.candidates(p.Leaving),
 		}
 		picked, ok := Pick(request, p.candidates(p.Candidates), func() float64 { return 0 })
 		if !ok || picked.Candidate.ID != p.Want || picked.Source != p.Source || picked.Fetched != p.Fetched {
@@ -63,7 +67,8 @@
 		c := specs[id]
 		list = append(list, Candidate{
 			ID: id, Version: c.Version, Slots: slots, Memory: p.Memory, Cached: c.Cached, Local: c.Local, Penalty: c.Penalty,
-			Load: Load{Requests: c.Requests, Reading: c.Reading, Memory: c.Held},
+			Speed: c.Speed,
+			Load:  Load{Requests: c.Requests, Reading: c.Reading, Memory: c.Held},
 		})
 	}
 	return list
@@ -115,6 +120,53 @@
 	}
 }
 
+// TestSessionsBySpeed guards against a slow engine that is the first for as many sessions as a fast one, and against
+// sessions that move to another engine because all have the same speed instead of none.
+func TestSessionsBySpeed(t *testing.T) {
+	const sessions = 6000
+	plain := make([]Candidate, 12)
+	for i := range plain {
+		plain[i] = Candidate{ID: fmt.Sprintf("engine-%d", i), Slots: 64}
+	}
+	equal, differing := slices.Clone(plain), slices.Clone(plain)
+	speeds := []float64{0.6, 1, 1.6}
+	for i := range plain {
+		equal[i].Speed, differing[i].Speed = 1.3, speeds[i%len(speeds)]
+	}
+	counts := map[float64]float64{}
+	moved := 0
+	for i := range sessions {
+		session := fmt.Sprintf("session-%d", i)
+		first := home(session, plain)
+		if got := home(session, equal); got != first {
+			t.Fatalf("%s has the home %s among engines of equal speed, and %s among those of unknown speed", session, got, first)
+		}
+		at := slices.IndexFunc(differing, func(c Candidate) bool { return c.ID == home(session, differing) })
+		counts[differing[at].Speed] += 1.0 / sessions
+		if differing[at].ID != first {
+			moved++
+		}
+	}
+	for _, speed := range speeds {
+		if want := speed / 3.2; counts[speed] < 0.9*want || counts[speed] > 1.1*want {
+			t.Errorf("engines of speed %.1f are the home of %.3f of the sessions, want %.3f", speed, counts[speed], want)
+		}
+	}
+	if moved > sessions/3 {
+		t.Errorf("%d of %d sessions have moved", moved, sessions)
+	}
+}
+
+// TestSlowPlainEndpointIsAdmitted guards against a request that is refused at an idle endpoint because its own time there
+// counts as a queue.
+func TestSlowPlainEndpointIsAdmitted(t *testing.T) {
+	slow := []Candidate{{ID: "a", Slots: 6, Speed: 0.5, Local: true}}
+	picked, _ := Pick(Request{Pace: pace.Estimate{PrefillPerMS: 40, PlainMS: 100}}, slow, func() float64 { return 0 })
+	if picked.Wait != 100 || picked.Queue() != 0 {
+		t.Errorf("a wait of %.0f ms, a queue of %.0f ms at an idle endpoint", picked.Wait, picked.Queue())
+	}
+}
+
 // TestNoCandidate guards against a choice from an empty list.
 func TestNoCandidate(t *testing.T) {
 	if _, ok := Pick(Request{}, nil, func() float64 { return 0 }); ok {
--- a/decide/choice/selection.go
+++ b/decide/choice/selection.go
@@ -1,6 +1,10 @@
 package choice
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // selection is a request with the candidates that are preferred for their prompt cache.
 type selection struct {
@@ -44,30 +48,54 @@
 	if request.Session == "" {
 		return s
 	}
+	s.homeID = home(request.Session, candidates)
+	return s
+}
+
+// home returns the first candidate in the rendezvous order of a session. A candidate is the first of as many sessions
+// as its speed allows.
+func home(session string, candidates []Candidate) string {
+	differ := false
+	for _, c := range candidates {
+		differ = differ || c.Speed != candidates[0].Speed
+	}
+	var first string
 	var highestScore uint64
+	shortest := math.Inf(1)
 	for _, c := range candidates {
-		if score := xxhash.Sum64String(request.Session + "/" + c.ID); s.homeID == "" || score > highestScore {
-			s.homeID, highestScore = c.ID, score
+		score := xxhash.Sum64String(session + "/" + c.ID)
+		if !differ {
+			if first == "" || score > highestScore {
+				first, highestScore = c.ID, score
+			}
+			continue
+		}
+		// Exponentially distributed times with the speeds as rates: each candidate has the shortest one with a
+		// probability proportional to its speed. The order of two candidates of the same speed is that of their scores.
+		uniform := (float64(score>>11) + 0.5) / (1 << 53)
+		if time := -math.Log(uniform) / c.speed(); first == "" || time < shortest {
+			first, shortest = c.ID, time
 		}
 	}
-	return s
+	return first
 }
 
-// worthFetching reports whether an engine should fetch cached tokens from another one.
-func (s selection) worthFetching(tokens int) bool {
+// worthFetching reports whether an engine that computes a number of tokens per millisecond should fetch cached tokens
+// from another one.
+func (s selection) worthFetching(tokens int, prefillPerMS float64) bool {
 	if s.request.FetchPerMS <= 0 || tokens <= 0 {
 		return false
 	}
 	fetch := fetchOverheadMS + float64(tokens)/s.request.FetchPerMS
-	return float64(tokens)/s.request.Pace.PrefillPerMS >= minFetchGain*fetch
+	return float64(tokens)/prefillPerMS >= minFetchGain*fetch
 }
 
 // planPrefill sets in p how many prompt tokens the candidate computes and how many it fetches. It
-// returns the time of the fetch and the cost of moved tokens, both in milliseconds.
+// returns the time of the fetch and the cost of moved tokens, both in milliseconds. p has the candidate's pace.
 func (s selection) planPrefill(c Candidate, p *Picked) (fetch, transferCost float64) {
 	p.Uncached = max(s.request.Prompt-c.Cached, 1)
 	fetchable := min(s.cacheHolder.Cached, s.request.Prompt-1) - c.Cached
-	if s.worthFetching(fetchable) && c.Version == s.cacheHolder.Version {
+	if s.worthFetching(fetchable, p.pace.PrefillPerMS) && c.Version == s.cacheHolder.Version {
 		p.Source, p.Fetched = s.cacheHolder.ID, fetchable
 		p.Uncached -= fetchable
 		fetch = fetchOverheadMS + float64(fetchable)/s.request.FetchPerMS
--- a/decide/pace/pace.go
+++ b/decide/pace/pace.go
@@ -6,17 +6,28 @@
 // first token of requests at lightly loaded engines, by the prompt tokens that had to be computed: its
 // slope is the time of a token, its intercept what every request takes.
 //
+// Endpoints of one service may differ in speed without saying so, as on a deployment with 89 engines of 0.6,
+// 1.0 and 1.6 of the usual speed, each of which is 2.5 times slower for 0.6 s at a time. Speeds estimates a
+// factor for each endpoint from what all daemons observe there. The fit uses times that are multiplied by the
+// endpoint's factor, so that it describes the usual engine whatever the mix.
+//
 // # Usage
 //
 //	state := pace.New()
-//	state.RecordFirst(pace.First{Tokens: 2400, Wait: 61 * time.Millisecond})
+//	observed, known := state.RecordFirst(pace.First{Tokens: 2400, Wait: 61 * time.Millisecond})
 //	state.RecordAnswer(pace.Answer{Tokens: 120, Took: 900 * time.Millisecond})
 //	estimate := state.Estimate()
+//	if known {
+//		speeds.Add(key, pace.Tally{}.With(observed, speeds.Log(key)), now)
+//	}
+//	compared := speeds.Compare(keys, differed)
+//	wait := estimate.At(compared.Factor(key)).FirstMS
 //
 // The methods change the state in place and are not safe for concurrent use.
 package pace
 
 import (
+	"math"
 	"math/bits"
 	"slices"
 	"time"
@@ -28,6 +39,8 @@
 		// Tokens is the number of prompt tokens that the engine was expected to compute.
 		Tokens int
 		Wait   time.Duration
+		// Speed is the endpoint's speed as a multiple of the usual one; 0 stands for 1.
+		Speed float64
 	}
 
 	// Answer is the time between the first and the last token of a response.
@@ -35,6 +48,23 @@
 		// Tokens is the number of tokens after the first.
 		Tokens int
 		Took   time.Duration
+		// Speed is as in First.
+		Speed float64
+	}
+
+	// Plain is the time of a response of a plain service.
+	Plain struct {
+		Took time.Duration
+		// Speed is as in First.
+		Speed float64
+	}
+
+	// Wait is the time to a request's first token at an engine with any load.
+	Wait struct {
+		// Predicted is the prediction without Estimate.ExtraMS.
+		Predicted, Observed time.Duration
+		// Speed is as in First.
+		Speed float64
 	}
 
 	// Estimate describes an engine. Its zero value stands for Default.
@@ -44,6 +74,11 @@
 		// FirstMS is the part of the time to the first token that does not depend on the prompt, and
 		// TokenMS the time between two tokens of a response, both in milliseconds.
 		FirstMS, TokenMS float64
+		// PlainMS is the time of a response of a plain service in milliseconds; 0 if unknown.
+		PlainMS float64
+		// ExtraMS is the time that requests usually wait longer for their first token than is predicted from the rest
+		// and from the loads in digests, in milliseconds: loads are a few hundred milliseconds old. Only At uses it.
+		ExtraMS float64
 	}
 
 	// State holds the last requests of a service.
@@ -52,6 +87,10 @@
 		// than 2^n tokens.
 		classes [maxClass + 1]ring
 		answers ring
+		plain   ring
+		extra   ring
+		// fitted reports whether the prefill rate comes from samples.
+		fitted bool
 		// estimate is up to date unless stale is set.
 		estimate Estimate
 		stale    bool
@@ -92,6 +131,12 @@
 	maxTokenMS       = 100
 	answerQuantile   = 0.5
 	minAnswerSamples = 8
+	// minPlainMS and maxPlainMS bound the time of a plain service's response.
+	minPlainMS = 1
+	maxPlainMS = 2000
+	// minUsualMS is the shortest usual time to the first token that shows an engine's speed: below it the network
+	// and the scheduler of the machine make up most of the time.
+	minUsualMS = 5
 )
 
 // Default is the estimate of an engine that is not known yet: the documented rates of the engines of
@@ -102,22 +147,59 @@
 func New() *State { return &State{estimate: Default} }
 
 // RecordFirst adds the time to a request's first token. It must have been sent to an engine that was
-// not known to have prompts to compute.
-func (s *State) RecordFirst(f First) {
+// not known to have prompts to compute. It returns the logarithm of the speed that the time shows, as a multiple of
+// the usual speed, and whether that is known.
+func (s *State) RecordFirst(f First) (observed float64, known bool) {
 	if f.Tokens <= 0 || f.Wait <= 0 {
-		return
+		return 0, false
+	}
+	if e := s.Estimate(); s.fitted {
+		usual := e.FirstMS + float64(f.Tokens)*busyFraction/e.PrefillPerMS
+		observed, known = logRatio(usual, f.Wait), usual >= minUsualMS
 	}
-	s.classes[min(bits.Len(uint(f.Tokens)), maxClass)].add(float64(f.Tokens), f.Wait)
+	s.classes[min(bits.Len(uint(f.Tokens)), maxClass)].add(float64(f.Tokens), f.Wait, f.Speed)
 	s.stale = true
+	return observed, known
 }
 
-// RecordAnswer adds the time of a response.
-func (s *State) RecordAnswer(a Answer) {
+// RecordAnswer adds the time of a response. It returns the same as RecordFirst.
+func (s *State) RecordAnswer(a Answer) (observed float64, known bool) {
 	if a.Tokens < minAnswerTokens || a.Took <= 0 {
-		return
+		return 0, false
+	}
+	if e := s.Estimate(); len(s.answers.samples) >= minAnswerSamples {
+		observed, known = logRatio(e.TokenMS*float64(a.Tokens), a.Took), true
 	}
-	s.answers.add(float64(a.Tokens), a.Took)
+	s.answers.add(float64(a.Tokens), a.Took, a.Speed)
 	s.stale = true
+	return observed, known
+}
+
+// RecordPlain adds the time of a response of a plain service. The endpoint must have had a free slot. It returns
+// the same as RecordFirst.
+func (s *State) RecordPlain(p Plain) (observed float64, known bool) {
+	if p.Took <= 0 {
+		return 0, false
+	}
+	if e := s.Estimate(); e.PlainMS > 0 {
+		observed, known = logRatio(e.PlainMS, p.Took), true
+	}
+	s.plain.add(1, p.Took, p.Speed)
+	s.stale = true
+	return observed, known
+}
+
+// RecordWait adds the time to a request's first token at an engine with any load.
+func (s *State) RecordWait(w Wait) {
+	if w.Observed > 0 {
+		s.extra.add(1, w.Observed-w.Predicted, w.Speed)
+		s.stale = true
+	}
+}
+
+// logRatio returns the logarithm of the ratio of a time in milliseconds to an observed one.
+func logRatio(usualMS float64, observed time.Duration) float64 {
+	return math.Log(usualMS * float64(time.Millisecond) / float64(observed))
 }
 
 // Estimate returns the estimate from the samples so far.
@@ -126,20 +208,36 @@
 		return s.estimate
 	}
 	s.stale = false
-	s.estimate = s.estimate.withPrefill(s.classes[:])
+	s.estimate, s.fitted = s.estimate.withPrefill(s.classes[:], s.fitted)
 	if len(s.answers.samples) >= minAnswerSamples {
-		perToken := make([]float64, 0, ringSize)
-		for _, a := range s.answers.samples {
-			perToken = append(perToken, a.ms/a.tokens)
-		}
-		s.estimate.TokenMS = clamp(quantileOf(perToken, answerQuantile), minTokenMS, maxTokenMS)
+		s.estimate.TokenMS = clamp(s.answers.median(), minTokenMS, maxTokenMS)
+	}
+	if len(s.plain.samples) >= minAnswerSamples {
+		s.estimate.PlainMS = clamp(s.plain.median(), minPlainMS, maxPlainMS)
+	}
+	if len(s.extra.samples) >= minAnswerSamples {
+		s.estimate.ExtraMS = clamp(s.extra.median(), 0, maxFirstMS)
 	}
 	return s.estimate
 }
 
+// At returns the estimate of an endpoint with a speed, as a multiple of the usual one. Speed 0 stands for endpoints that
+// don't differ and returns the estimate as it is.
+func (e Estimate) At(speed float64) Estimate {
+	if speed == 0 {
+		return e
+	}
+	e.PrefillPerMS *= speed
+	e.FirstMS = (e.FirstMS + e.ExtraMS) / speed
+	e.ExtraMS /= speed
+	e.TokenMS /= speed
+	e.PlainMS /= speed
+	return e
+}
+
 // withPrefill returns the estimate with the line through the classes' points, by least squares. Without
-// enough classes it returns the estimate as it is.
-func (e Estimate) withPrefill(classes []ring) Estimate {
+// enough classes it returns the estimate as it is. fitted reports whether the line was ever determined.
+func (e Estimate) withPrefill(classes []ring, fitted bool) (Estimate, bool) {
 	var points []sample
 	for _, c := range classes {
 		if len(c.samples) >= minSamples {
@@ -147,7 +245,7 @@
 		}
 	}
 	if len(points) < 2 || points[len(points)-1].tokens < minSpan*points[0].tokens {
-		return e
+		return e, fitted
 	}
 	var meanTokens, meanMS float64
 	for _, p := range points {
@@ -161,17 +259,20 @@
 	}
 	if covariance <= 0 {
 		// Larger prompts don't take longer: the engines are too busy to tell.
-		return e
+		return e, fitted
 	}
 	slope := covariance / variance
 	e.PrefillPerMS = clamp(busyFraction/slope, minPrefillPerMS, maxPrefillPerMS)
 	e.FirstMS = clamp(meanMS-slope*meanTokens, 0, maxFirstMS)
-	return e
+	return e, true
 }
 
-// add adds a sample and drops the oldest if there are too many.
-func (r *ring) add(tokens float64, took time.Duration) {
+// add adds a sample, with its time at the usual speed, and drops the oldest if there are too many.
+func (r *ring) add(tokens float64, took time.Duration, speed float64) {
 	s := sample{tokens: tokens, ms: float64(took) / float64(time.Millisecond)}
+	if speed > 0 {
+		s.ms *= speed
+	}
 	if len(r.samples) < ringSize {
 		r.samples = append(r.samples, s)
 		return
@@ -192,6 +293,15 @@
 	return p
 }
 
+// median returns the median time of a token in milliseconds.
+func (r *ring) median() float64 {
+	perToken := make([]float64, 0, ringSize)
+	for _, s := range r.samples {
+		perToken = append(perToken, s.ms/s.tokens)
+	}
+	return quantileOf(perToken, answerQuantile)
+}
+
 // quantileOf returns a quantile of values, which it sorts.
 func quantileOf(values []float64, q float64) float64 {
 	slices.Sort(values)
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -498,6 +498,10 @@
 	}
 	now := x.daemon.clock.now()
 	x.daemon.tables.recordTiming(a.firstEventTiming(now, false), now)
+	if x.engine() == nil && buffered.status < http.StatusMultipleChoices {
+		// An endpoint that refuses or fails quickly is not fast.
+		x.daemon.tables.recordPlain(a.endpoint, a.picked, now.Sub(a.sentAt))
+	}
 	buffered.write(x.writer)
 	return delivered, nil
 }
--- a/entryd/relay/digest.go
+++ b/entryd/relay/digest.go
@@ -47,6 +47,7 @@
 	m.LoadsTo = math.MaxUint32
 	m.Poison = t.poisonReport(now)
 	m.Limits = t.limitReports(&t.digestLimits, now)
+	m.Observed = t.speeds.drain(t.speeds.own)
 	m.Counts = newestWindows(t.usage.Own(), allCounts)
 	return m
 }
@@ -122,6 +123,7 @@
 	p = t.applyPeer(p, m, known && p.incarnation == m.Incarnation, t.peerWork, now)
 	p.sequence = m.Sequence
 	t.peers[m.Daemon] = p
+	t.speeds.apply(m.Observed, true, now)
 	t.usage.Merge(m.Daemon, m.Incarnation, usageCounts(m.Counts))
 	if !t.followsHub {
 		t.quota.Update(quota.Merge{
@@ -140,6 +142,7 @@
 		return
 	}
 	t.usage.MergeGroup(m.DataCentre, usageCounts(m.Counts))
+	t.speeds.apply(m.Observed, false, now)
 	p, known := t.centres[m.DataCentre]
 	if known && p.incarnation != m.Daemon+m.Incarnation {
 		p.addCounted(t.pastUsedElsewhere)
@@ -243,6 +246,7 @@
 	t.applySuspects(m, now)
 	t.applyPoison(m, now)
 	t.applyLimits(m, now)
+	t.speeds.applyHub(m)
 	t.prefixTable.observe(m.Prefixes, false, now)
 	if !known {
 		return
@@ -303,6 +307,7 @@
 	follows := t.followsHub
 	if follows {
 		t.followsHub, t.hub = false, ""
+		t.speeds.seed(now)
 		t.hubState = peerState{}
 		t.quota.Update(quota.Reset{Now: now})
 	}
@@ -424,6 +429,7 @@
 		m.Work[service] += int64(work)
 	}
 	m.Counts = newestWindows(t.usage.OwnGroups(), allCounts)
+	m.Observed = t.speeds.drain(t.speeds.centre)
 	t.sumCursor = m.limitLoads(t.sumCursor)
 	return m
 }
@@ -437,6 +443,7 @@
 	m.Prefixes, m.Work = t.prefixTable.drainAll(), nil
 	m.Poison = t.poisonReport(now, t.peers, t.centres)
 	m.Limits = t.limitReports(&t.totalLimits, now, t.peers, t.centres)
+	t.speeds.fill(&m)
 	t.totalsCursor = m.limitLoads(t.totalsCursor)
 	return m
 }
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -148,6 +148,9 @@
 			return m, 0, err
 		}
 	}
+	if err := m.checkSpeeds(); err != nil {
+		return m, 0, err
+	}
 	return m, int64(binary.BigEndian.Uint64(data)), nil
 }
 
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -61,6 +61,14 @@
 		Poison *poison.Report `cbor:"39,keyasint,omitempty"`
 		// Limits holds the numbers of requests a second that endpoints take, by short identifiers.
 		Limits map[uint32]limitReport `cbor:"43,keyasint,omitempty"`
+		// Observed are the speeds that were observed at endpoints since the last such message: by the sender in a
+		// digest, in its data centre in a sum.
+		Observed speedTallies `cbor:"64,keyasint,omitempty"`
+		// Speeds are the speeds of endpoints in totals, for the keys from SpeedsFrom to SpeedsTo. Endpoints in the
+		// range that Speeds leaves out have the usual speed, as far as is known.
+		Speeds     speedLogs `cbor:"65,keyasint,omitempty"`
+		SpeedsFrom uint32    `cbor:"66,keyasint,omitempty"`
+		SpeedsTo   uint32    `cbor:"67,keyasint,omitempty"`
 		// Outcomes are the outcomes of roll-outs, by service.
 		Outcomes map[string]outcomes `cbor:"21,keyasint,omitempty"`
 		// Recent is the part of Used by processes that have just started, AgeMS the time since the
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -301,6 +301,7 @@
 		d.publishChanges(d.tables.tick(d.clock.now()))
 		d.logPoison()
 		d.logRollouts()
+		d.logSpeeds()
 		d.budget.resize(d.members.count())
 	})
 }
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -58,7 +58,7 @@
 			}
 			now := x.daemon.clock.now()
 			if engine := x.engine(); engine != nil && count > 1 {
-				x.daemon.tables.recordAnswer(x.service, (count-1)*engine.EventTokens, now.Sub(firstAt))
+				x.daemon.tables.recordAnswer(a.endpoint, a.picked, (count-1)*engine.EventTokens, now.Sub(firstAt))
 			}
 			if count > 1 && count <= paceEvents {
 				x.daemon.tables.recordTiming(a.paceTiming(firstAt, now, count-1), now)
@@ -165,7 +165,7 @@
 	x.daemon.tables.markPromptRead(a.placed)
 	x.countUsage()
 	now := x.daemon.clock.now()
-	x.daemon.tables.recordFirstToken(x.service, a.picked, now.Sub(a.sentAt))
+	x.daemon.tables.recordFirstToken(a.endpoint, a.picked, now.Sub(a.sentAt))
 	x.daemon.tables.recordTiming(a.firstEventTiming(now, false), now)
 	x.daemon.meters.observe("FirstEvent.Milliseconds", now.Sub(x.arrived))
 	x.log("First event.", "Endpoint", a.endpoint.ID, "Predicted", int(a.picked.Wait),
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -86,6 +86,8 @@
 		poisonChanges []poison.Command
 		// paces holds the observed speed of each service's engines.
 		paces map[string]*pace.State
+		// speeds holds the speeds of the endpoints.
+		speeds *endpointSpeeds
 		// misdirected holds the endpoints whose address belongs to another endpoint, each with the
 		// time of its registration.
 		misdirected map[string]int64
@@ -167,7 +169,7 @@
 		work: map[string]float64{}, placed: map[string]float64{},
 		limits: map[uint32]statedLimit{}, ownLimits: map[uint32]statedLimit{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
-		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{},
+		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{}, speeds: newEndpointSpeeds(),
 	}
 }
 
@@ -314,6 +316,7 @@
 		members = append(members, health.Member{Instance: e.ID, DataCentre: e.DataCentre, Routes: []string{e.Service}, Incarnation: e.StartedAtMS})
 	}
 	t.health, _ = t.health.Update(health.Listing{Time: now, Endpoints: members})
+	t.speeds.list(t.endpoints)
 }
 
 // removeGone removes an endpoint that the hub found gone.
@@ -420,6 +423,7 @@
 			ID: e.ID, Version: e.Version, DataCentre: e.DataCentre, Slots: e.Slots, Memory: memory,
 			Load: t.load(e.ID, loads), Cached: t.prefixTable.tokens(shortID(e.ID), parts, now),
 			Local: e.DataCentre == t.centre, Penalty: float64(status.Penalty.Milliseconds()),
+			Speed: t.speeds.factor(e),
 		}
 		if e.State != setup.Ready {
 			found.leaving = append(found.leaving, c)
@@ -588,23 +592,39 @@
 	return s
 }
 
-// recordFirstToken records the time to the first token of a placed call, if the engine had nothing else
-// to compute as far as this daemon knows.
-func (t *tables) recordFirstToken(service string, picked choice.Picked, wait time.Duration) {
+// recordFirstToken records the time to the first token of a placed call. It tells the engine's speed if the engine had
+// nothing else to compute as far as this daemon knows.
+func (t *tables) recordFirstToken(endpoint setup.Endpoint, picked choice.Picked, wait time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.pace(endpoint.Service).RecordWait(pace.Wait{
+		Predicted: milliseconds(picked.Wait - picked.Extra()), Observed: wait, Speed: picked.Candidate.Speed,
+	})
 	load, slots := picked.Candidate.Load, picked.Candidate.Slots
 	if picked.Fetched > 0 || load.Reading > 0 || float64(load.Requests) > lightLoad*float64(slots) {
 		return
 	}
+	t.speeds.record(endpoint)(t.pace(endpoint.Service).RecordFirst(pace.First{
+		Tokens: picked.Uncached, Wait: wait - milliseconds(picked.Running()), Speed: picked.Candidate.Speed,
+	}))
+}
+
+// recordAnswer records the time of a response after its first event.
+func (t *tables) recordAnswer(endpoint setup.Endpoint, picked choice.Picked, tokens int, took time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.pace(service).RecordFirst(pace.First{Tokens: picked.Uncached, Wait: wait - milliseconds(picked.Running())})
+	t.speeds.record(endpoint)(t.pace(endpoint.Service).RecordAnswer(pace.Answer{Tokens: tokens, Took: took, Speed: picked.Candidate.Speed}))
 }
 
-// recordAnswer records the time of a response after its first event.
-func (t *tables) recordAnswer(service string, tokens int, took time.Duration) {
+// recordPlain records the time of a response of a plain service, if the endpoint had a free slot as far as this daemon
+// knows.
+func (t *tables) recordPlain(endpoint setup.Endpoint, picked choice.Picked, took time.Duration) {
+	if picked.Candidate.Load.Requests >= max(picked.Candidate.Slots, 1) {
+		return
+	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.pace(service).RecordAnswer(pace.Answer{Tokens: tokens, Took: took})
+	t.speeds.record(endpoint)(t.pace(endpoint.Service).RecordPlain(pace.Plain{Took: took, Speed: picked.Candidate.Speed}))
 }
 
 // choiceRequest returns the properties of a call that the choice of an endpoint uses.
