hubs, quota: planned leaves

Cause: a daemon that stops as planned counts as silent for up to 70 s, and the others keep its part of allowances and of the retry budget reserved.

A process announces until when it uses its part (hubs.Leave); whoever hears it passes it on for 5 s. Leaving daemons are the last choice as hubs, so that a successor serves before they end. Departures removes a daemon once its time is over; a process that has left has no effect any more, one with the same name that starts later counts. Quota keeps what was reserved for silent daemons that leave, since they may have used it, and learns that a silent data centre has fewer daemons.

--- a/decide/hubs/hubs.go
+++ b/decide/hubs/hubs.go
@@ -21,6 +21,8 @@
 //	state.Observe(report, now)       // a message of another daemon
 //	state.Refer(report, now)         // a referral in a message
 //	hub, isHub := state.Hub(now)
+//	state.Leave(leave, now)          // a planned end of a process
+//	gone := state.Departures(now)
 //
 // The methods change the state in place and are not safe for concurrent use.
 package hubs
@@ -46,6 +48,9 @@
 		Incarnation string `json:"Incarnation"`
 		// At is when the record was written, by the writer's clock.
 		At time.Time `json:"At"`
+		// LeavesAt is when the process stops using its part of what the daemons share, by the writer's
+		// clock; zero unless it ends as planned.
+		LeavesAt time.Time `json:"LeavesAt,omitzero"`
 	}
 
 	// Report is what a daemon says about itself, or another daemon about it. All times are by the
@@ -61,6 +66,8 @@
 		ReadAt, OwnReadAt time.Time
 		// SeenAt is when the daemon was last heard.
 		SeenAt time.Time
+		// Leaving reports whether the process has announced that it ends.
+		Leaving bool
 	}
 
 	// State is one daemon's view of the others.
@@ -81,6 +88,8 @@
 		// hubs is the result of Hubs at hubsAt; it is kept for memoTTL.
 		hubs   map[string]Report
 		hubsAt time.Time
+		// leaves holds the processes that end or have ended as planned, this one included.
+		leaves map[process]departure
 	}
 
 	// choice is a hub, and when this daemon began to expect its messages.
@@ -144,7 +153,7 @@
 
 // New returns the state of a daemon that knows no other.
 func New(self Member) *State {
-	return &State{self: entry{Report: Report{Member: self}}, known: map[string]*entry{}, chosen: map[string]choice{}}
+	return &State{self: entry{Report: Report{Member: self}}, known: map[string]*entry{}, chosen: map[string]choice{}, leaves: map[process]departure{}}
 }
 
 // UpdateSelf records whether this daemon holds the lease, its configuration, and the last reads of
@@ -159,9 +168,10 @@
 // Self returns this daemon's own report.
 func (s *State) Self() Report { return s.self.Report }
 
-// Observe records a message of a daemon and reports whether the sender is a new process.
+// Observe records a message of a daemon and reports whether the sender is a new process. A process that has left
+// changes nothing.
 func (s *State) Observe(from Report, now time.Time) bool {
-	if from.Name == s.self.Name {
+	if from.Name == s.self.Name || s.HasLeft(from.Name, from.Incarnation, now) {
 		return false
 	}
 	known := s.entry(from.Member)
@@ -174,7 +184,7 @@
 
 // Refer records a referral to a daemon. An older one than what is known changes nothing.
 func (s *State) Refer(to Report, now time.Time) {
-	if to.Name == s.self.Name || to.SeenAt.After(now) {
+	if to.Name == s.self.Name || to.SeenAt.After(now) || s.HasLeft(to.Name, to.Incarnation, now) {
 		return
 	}
 	known := s.entry(to.Member)
@@ -187,7 +197,7 @@
 func (s *State) entry(m Member) *entry {
 	known, ok := s.known[m.Name]
 	if !ok {
-		known = &entry{Report: Report{Member: m}}
+		known = &entry{Report: Report{Member: m, Leaving: s.leaving(m)}}
 		s.known[m.Name] = known
 		s.names = nil
 		if m.DataCentre == s.self.DataCentre {
@@ -201,9 +211,16 @@
 func (s *State) replace(known *entry, report Report) {
 	last := *known
 	known.Report = report
+	known.Leaving = s.leaving(report.Member)
 	known.updateReads(last, s.readGap())
 }
 
+// leaving reports whether a process has announced that it ends.
+func (s *State) leaving(m Member) bool {
+	_, ok := s.leaves[m.process()]
+	return ok
+}
+
 // updateReads updates the span of the daemon's reads from its previous entry.
 func (k *entry) updateReads(last entry, gap time.Duration) {
 	if k.ReadAt.Before(last.ReadAt) {
@@ -218,7 +235,7 @@
 
 // List records a daemon's record in the log and reports whether the daemon was unknown.
 func (s *State) List(record Member, now time.Time) bool {
-	if record.Name == s.self.Name {
+	if record.Name == s.self.Name || s.HasLeft(record.Name, record.Incarnation, now) {
 		return false
 	}
 	_, ok := s.known[record.Name]
@@ -227,7 +244,10 @@
 	case !ok:
 		known.listedAt = now
 	case known.Incarnation != record.Incarnation && now.Sub(known.SeenAt) > s.ttl():
-		*known = entry{Report: Report{Member: record, SeenAt: known.SeenAt}, heardAt: known.heardAt, listedAt: now}
+		*known = entry{
+			Report:  Report{Member: record, SeenAt: known.SeenAt, Leaving: s.leaving(record)},
+			heardAt: known.heardAt, listedAt: now,
+		}
 	default:
 		known.listedAt = now
 	}
@@ -237,13 +257,9 @@
 // Expire removes the daemons without a message or a record for memberTTL and returns them.
 func (s *State) Expire(now time.Time) []Member {
 	var gone []Member
-	for name, k := range s.known {
+	for _, k := range s.known {
 		if now.Sub(k.SeenAt) > memberTTL && now.Sub(k.listedAt) > memberTTL {
-			delete(s.known, name)
-			s.names = nil
-			if k.DataCentre == s.self.DataCentre {
-				s.followers--
-			}
+			s.remove(k)
 			gone = append(gone, k.Member)
 		}
 	}
@@ -461,10 +477,16 @@
 
 func ranksBefore(a, b Report) bool { return compareRanks(a, b) < 0 }
 
-// compareRanks orders the daemons of a data centre by preference as a hub. The lease holder ranks
-// first, since it must receive the counts of all daemons, then the faster instance; ties are broken
-// by a hash of the names.
+// compareRanks orders the daemons of a data centre by preference as a hub. A leaving daemon ranks last, so that
+// its successor serves before it ends. Of the others the lease holder ranks first, since it must receive the
+// counts of all daemons, then the faster instance; ties are broken by a hash of the names.
 func compareRanks(a, b Report) int {
+	if a.Leaving != b.Leaving {
+		if b.Leaving {
+			return -1
+		}
+		return 1
+	}
 	if a.HoldsLease != b.HoldsLease {
 		if a.HoldsLease {
 			return -1
--- a/decide/hubs/hubs_test.go
+++ b/decide/hubs/hubs_test.go
@@ -41,6 +41,10 @@
 		// hub is the last hub, changes counts its changes.
 		hub     string
 		changes int
+		// leftAt is when the daemon stops using its part in a planned stop, downAt when its process ends; zero unless
+		// it stops.
+		leftAt, downAt time.Time
+		left           bool
 	}
 
 	script struct {
@@ -57,6 +61,15 @@
 		StopCentre string `yaml:"StopCentre"`
 		StartAll   bool   `yaml:"StartAll"`
 		RestartAll bool   `yaml:"RestartAll"`
+		// Leave lists daemons that stop as planned; "hub" stands for that of centre-0. They use their part for LeaveMs
+		// more, tell the others that they have left unless KilledAfterMs is less, and end some messages later.
+		Leave         []string `yaml:"Leave"`
+		LeaveMs       int      `yaml:"LeaveMs"`
+		KilledAfterMs int      `yaml:"KilledAfterMs"`
+		// Restart lists daemons that start again at once, as new processes.
+		Restart []string `yaml:"Restart"`
+		// Counted checks that each live daemon counts the live ones and no others.
+		Counted bool `yaml:"Counted"`
 		// Split cuts the first daemons of each data centre off from the rest; 0 ends it.
 		Split *int `yaml:"Split"`
 		// Reject lists daemons whose reads the log rejects; "hub" stands for that of centre-0, "reader" for the hub that
@@ -110,6 +123,7 @@
 	d.incarnation++
 	d.down, d.followers = false, map[string]time.Time{}
 	d.informedAt, d.readerReadAt, d.ownReadAt = time.Time{}, time.Time{}, time.Time{}
+	d.leftAt, d.downAt, d.left = time.Time{}, time.Time{}, false
 	d.state = New(f.member(d))
 	d.nextAt = f.now.Add(time.Duration(f.random.IntN(300)) * time.Millisecond)
 	for _, other := range f.daemons {
@@ -130,10 +144,17 @@
 	if !ok || receiver.down || f.side[from.name] != f.side[to] || f.random.IntN(100) < f.lossPercent {
 		return false
 	}
+	if receiver.state.HasLeft(from.name, fmt.Sprint(from.incarnation), f.now) {
+		return true
+	}
 	receiver.state.Observe(from.state.Self(), f.now)
 	for _, r := range from.state.Referrals(f.now) {
 		receiver.state.Refer(r, f.now)
 	}
+	for _, l := range from.state.Leaves(f.now) {
+		receiver.state.Leave(l, f.now)
+	}
+	receiver.state.Departures(f.now)
 	return true
 }
 
@@ -197,9 +218,11 @@
 func (f *fleet) run(length time.Duration) {
 	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(tick) {
 		for _, d := range f.daemons {
+			f.stop(d)
 			if d.down {
 				continue
 			}
+			d.state.Departures(f.now)
 			if !f.now.Before(d.nextAt) {
 				f.read(d)
 				if hub, _ := d.state.Hub(f.now); hub.Name != d.hub {
@@ -213,6 +236,32 @@
 	}
 }
 
+// leave begins the planned stop of a daemon, which uses its part for some time more and is killed after another
+// time, if that is not 0.
+func (f *fleet) leave(d *daemon, uses, killedAfter time.Duration) {
+	const announced = 8 * time.Second
+	d.leftAt, d.downAt = f.now.Add(uses), f.now.Add(uses+4*d.state.Interval())
+	if killedAfter > 0 {
+		d.downAt = f.now.Add(killedAfter)
+	}
+	d.state.AnnounceLeave(f.now.Add(announced), f.now)
+}
+
+// stop takes the next step of a planned stop that is due.
+func (f *fleet) stop(d *daemon) {
+	if d.leftAt.IsZero() || d.down {
+		return
+	}
+	if !d.left && !f.now.Before(d.leftAt) && f.now.Before(d.downAt) {
+		d.left = true
+		d.state.AnnounceLeave(f.now, f.now)
+		for _, r := range d.state.LeaveTargets(f.now, f.random.Float64) {
+			f.deliver(d, r.Name)
+		}
+	}
+	d.down = !f.now.Before(d.downAt)
+}
+
 func (f *fleet) apply(s step) {
 	for _, d := range f.daemons {
 		d.sent, d.reads, d.changes = 0, 0, 0
@@ -243,6 +292,15 @@
 			d.holdsLease = d.name == s.LeaseTo
 		}
 	}
+	for _, name := range s.Leave {
+		if name == "hub" {
+			name = f.hubOf("centre-0")
+		}
+		f.leave(f.byName[name], time.Duration(s.LeaveMs)*time.Millisecond, time.Duration(s.KilledAfterMs)*time.Millisecond)
+	}
+	for _, name := range s.Restart {
+		f.start(f.byName[name])
+	}
 	for _, name := range s.Reject {
 		if name == "hub" {
 			name = f.hubOf("centre-0")
@@ -302,6 +360,17 @@
 			t.Errorf("step %d: the records of %s are %s old", number, d.name, age)
 		}
 	}
+	live := 0
+	for _, d := range f.daemons {
+		if !d.down {
+			live++
+		}
+	}
+	for _, d := range f.daemons {
+		if count := d.state.Count(); s.Counted && !d.down && count != live {
+			t.Errorf("step %d: %s counts %d daemons, %d are live", number, d.name, count, live)
+		}
+	}
 	for _, d := range f.daemons {
 		if _, isHub := d.state.Hub(f.now); !s.Agree || d.down || !isHub {
 			continue
--- a/decide/quota/quota.go
+++ b/decide/quota/quota.go
@@ -73,12 +73,20 @@
 		Now     time.Time
 	}
 
-	// PeerRemoved removes a peer that will not return.
+	// PeerRemoved removes a peer that will not return. What was deducted for it stays deducted.
 	PeerRemoved struct {
 		Daemon string
 		Now    time.Time
 	}
 
+	// PeerReduced states how many daemons a peer reports for after some of them have left. A silent peer can't
+	// state it itself.
+	PeerReduced struct {
+		Daemon  string
+		Daemons int
+		Now     time.Time
+	}
+
 	// Decision is the result of Take.
 	Decision struct {
 		Admitted bool
@@ -197,6 +205,12 @@
 	case PeerRemoved:
 		s.advance(m.Now)
 		delete(s.peers, m.Daemon)
+	case PeerReduced:
+		s.advance(m.Now)
+		if p, known := s.peers[m.Daemon]; known {
+			p.daemons = min(p.daemons, float64(max(m.Daemons, 1)))
+			p.removeSilent(p.silentMembers - p.daemons)
+		}
 	case EndpointLimited:
 		s.limitEndpoint(m)
 	case EndpointUnlimited:
@@ -264,7 +278,9 @@
 			p.rates[name] += rateWeight * (increase/seconds - p.rates[name])
 		}
 	}
-	p.used, p.reportedAt, p.silent, p.daemons = m.Used, m.Now, false, float64(max(m.Daemons, 1))
+	daemons := float64(max(m.Daemons, 1))
+	p.removeSilent(min(p.daemons-daemons, p.silentMembers-float64(m.Silent)))
+	p.used, p.reportedAt, p.silent, p.daemons = m.Used, m.Now, false, daemons
 	p.silentAt = m.silentAt()
 	clear(p.assumed)
 	s.setSilentMembers(p, m.Silent)
@@ -277,6 +293,19 @@
 	return m.SilentAt
 }
 
+// removeSilent removes some of the silent daemons behind the peer, which will not return. What was deducted for
+// them stays deducted: they may have used it, and nobody reports it.
+func (p *peer) removeSilent(count float64) {
+	if count <= 0 || p.silentMembers <= 0 {
+		return
+	}
+	rest := max(0, p.silentMembers-count)
+	for name := range p.reserved {
+		p.reserved[name] *= rest / p.silentMembers
+	}
+	p.silentMembers = rest
+}
+
 // setSilentMembers deducts the equal shares of the daemons that have fallen silent to a peer. It
 // refunds what was deducted for those that the peer receives digests from again, since the peer
 // now reports their use.
@@ -520,3 +549,4 @@
 func (Listed) message()      {}
 func (Reset) message()       {}
 func (PeerRemoved) message() {}
+func (PeerReduced) message() {}
--- a/decide/quota/quota_test.go
+++ b/decide/quota/quota_test.go
@@ -34,8 +34,15 @@
 		Incarnation string  `yaml:"Incarnation"`
 		Used        float64 `yaml:"Used"`
 		Recent      float64 `yaml:"Recent"`
-		Want        string  `yaml:"Want"`
-		RetryAfter  int     `yaml:"RetryAfter"`
+		// Daemons is the number of daemons that the peer reports for, Silent the number of those that are
+		// silent to it.
+		Daemons int `yaml:"Daemons"`
+		Silent  int `yaml:"Silent"`
+		// Removed is a peer that has left, Reduced one of whose daemons only Daemons are left.
+		Removed    string `yaml:"Removed"`
+		Reduced    string `yaml:"Reduced"`
+		Want       string `yaml:"Want"`
+		RetryAfter int    `yaml:"RetryAfter"`
 	}
 )
 
@@ -92,7 +99,11 @@
 		now := start.Add(time.Duration(step.At) * time.Millisecond)
 		switch {
 		case step.Peer != "":
-			state.Update(Merge{Daemon: step.Peer, Incarnation: step.Incarnation, Used: map[string]float64{account: step.Used}, Recent: map[string]float64{account: step.Recent}, Now: now})
+			state.Update(Merge{Daemon: step.Peer, Incarnation: step.Incarnation, Used: map[string]float64{account: step.Used}, Recent: map[string]float64{account: step.Recent}, Daemons: step.Daemons, Silent: step.Silent, Now: now})
+		case step.Removed != "":
+			state.Update(PeerRemoved{Daemon: step.Removed, Now: now})
+		case step.Reduced != "":
+			state.Update(PeerReduced{Daemon: step.Reduced, Daemons: step.Daemons, Now: now})
 		case step.Listed != "":
 			state.Update(Listed{Daemon: step.Listed, Now: now})
 		case step.Limit > 0:
