--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -35,6 +35,11 @@
 		// zero if it does not.
 		Answer time.Duration
 		StopAt time.Time
+		// Spent is the part of its usual time that the request had spent when it arrived. A larger part tells that it
+		// was refused before.
+		Spent float64
+		// Expected is the engine time of requests that were refused and told to return about now.
+		Expected time.Duration
 	}
 
 	// Decision is the result of Decide.
@@ -45,6 +50,9 @@
 		// RetryAt is the time at which capacity is expected, or at which another daemon can be tried. It is
 		// zero for admitted requests.
 		RetryAt time.Time
+		// EarliestRetry is the time by which the queue has become short enough if no other request is added to it;
+		// zero for admitted requests. It may be later than the caller can wait.
+		EarliestRetry time.Time
 		// Limit is the longest queueing time at which the request is admitted.
 		Limit time.Duration
 	}
@@ -62,6 +70,14 @@
 	waitFraction     = 0.5
 	rankFraction     = 0.05
 	minQueueFraction = 0.05
+	// returnSpent is the part of the usual time from which a request counts as one that returns: the times that
+	// callers leave for their first attempts differ by up to 0.15. Its wait may take returnFraction of the target
+	// more, since a second refusal costs more than a first one.
+	returnSpent    = 0.17
+	returnFraction = 0.4
+	// expectedFraction of the target is the most by which the work of returning requests reduces the limit of
+	// others.
+	expectedFraction = 0.2
 	// patienceDivisor divides the time until the deadline: for longer than the result, callers don't wait
 	// before they retry.
 	patienceDivisor = 3
@@ -77,15 +93,24 @@
 		return Decision{Stopping: true, RetryAt: now.Add(StopRetryDelay)}
 	}
 	fraction := waitFraction - rankFraction*float64(r.Rank)
+	if r.Returns() {
+		fraction += returnFraction
+	} else {
+		fraction -= min(float64(r.Expected)/float64(r.Target), expectedFraction)
+	}
 	v := Decision{Limit: max(time.Duration(fraction*float64(r.Target))-r.Own, time.Duration(minQueueFraction*float64(r.Target)))}
 	queue := r.Wait - r.Own
 	v.Admitted = queue <= v.Limit && float64(r.Wait) <= deadlineFraction*float64(r.Left)
 	if !v.Admitted {
+		v.EarliestRetry = now.Add(max(queue-v.Limit/2, minRetryDelay))
 		v.RetryAt = now.Add(min(max(queue-v.Limit/2, minRetryDelay), maxRetryDelay, r.Left/patienceDivisor))
 	}
 	return v
 }
 
+// Returns reports whether the request seems to have been refused before.
+func (r Request) Returns() bool { return r.Spent >= returnSpent }
+
 // RetryAt returns when the caller may retry a request to a service whose endpoints all reject this daemon's
 // requests until a time. A caller that can't wait that long should try another daemon, whose requests they may
 // take, after otherwise.
--- a/decide/admit/admit_test.go
+++ b/decide/admit/admit_test.go
@@ -24,11 +24,13 @@
 		StopIn   int  `yaml:"StopIn"`
 		Answer   int  `yaml:"Answer"`
 		Stopping bool `yaml:"Stopping"`
+		// Spent is the part of its time that the request had spent, Expected the time for returning requests.
+		Spent    float64 `yaml:"Spent"`
+		Expected int     `yaml:"Expected"`
 	}
 	now := time.Unix(1000, 0)
-	ms := func(count int) time.Duration { return time.Duration(count) * time.Millisecond }
 	for _, c := range cases.Load[requestCase](t, "testdata/requests.yaml") {
-		r := Request{Wait: ms(c.Wait), Own: ms(c.Own), Target: ms(c.Target), Left: ms(c.Left), Rank: c.Rank, Answer: ms(c.Answer)}
+		r := Request{Wait: ms(c.Wait), Own: ms(c.Own), Target: ms(c.Target), Left: ms(c.Left), Rank: c.Rank, Answer: ms(c.Answer), Spent: c.Spent, Expected: ms(c.Expected)}
 		if c.StopIn != 0 {
 			r.StopAt = now.Add(ms(c.StopIn))
 		}
@@ -57,7 +59,6 @@
 	}
 	const otherwise = 400 * time.Millisecond
 	now := time.Unix(1000, 0)
-	ms := func(count int) time.Duration { return time.Duration(count) * time.Millisecond }
 	for _, c := range cases.Load[rejectionCase](t, "testdata/rejections.yaml") {
 		if got := RetryAt(now.Add(ms(c.OpensIn)), otherwise, ms(c.Left), now).Sub(now); got != ms(c.RetryAfter) {
 			t.Errorf("%s: retry after %v, want %v", c.Name, got, ms(c.RetryAfter))
--- /dev/null
+++ b/entryd/relay/demand.go
@@ -0,0 +1,318 @@
+package relay
+
+import (
+	"maps"
+	"math"
+	"time"
+
+	"lentilstage.dev/decide/admit"
+	"lentilstage.dev/decide/choice"
+	"lentilstage.dev/decide/share"
+	"lentilstage.dev/domain/setup"
+)
+
+type (
+	// serviceDemand is what callers ask of a service at this daemon, and what this daemon has promised those that it
+	// refused.
+	serviceDemand struct {
+		offered, refused *share.Meter
+		schedule         *admit.Schedule
+		supply           share.Supply
+	}
+
+	// demandShare is the demand of one or more daemons, in seconds of endpoint time.
+	demandShare struct {
+		// offered is the work per second by short identifiers of client accounts.
+		offered  map[uint32]float64
+		refused  float64
+		promised map[int64]float64
+	}
+
+	// demandKey identifies whose demand a request is.
+	demandKey struct{ service, account, route string }
+
+	// standing is what is known when a request arrives.
+	standing struct {
+		// spent is the part of its usual time that the request has spent before, returned whether it was refused then.
+		spent    float64
+		returned bool
+		// expected is the time that endpoints need for requests that were told to return about now.
+		expected time.Duration
+	}
+
+	// promise is when a refused caller should return, with what that was based on.
+	promise struct {
+		admit.Promise
+		// Offered, Capacity and Usual are work per second in seconds of endpoint time.
+		Offered, Capacity, Usual float64
+	}
+
+	// messageKind tells messages with demands apart, which are sent at different times.
+	messageKind int
+)
+
+const (
+	digestKind messageKind = iota
+	sumKind
+	totalsKind
+)
+
+const (
+	// demandInterval is the pause between messages with demands while nothing is refused or promised.
+	demandInterval = time.Second
+	// demandTTL is how long a peer's demand holds without a newer one. After it, this daemon's own demand stands for
+	// that of each daemon.
+	demandTTL = 2 * time.Second
+	// plainRequestSeconds is the time that a request to a plain service occupies a slot.
+	plainRequestSeconds = 0.05
+)
+
+// workSeconds returns the endpoint time that a request takes.
+func workSeconds(r choice.Request, uncached, slots int) float64 {
+	if !r.Model {
+		return plainRequestSeconds / float64(max(slots, 1))
+	}
+	return engineTimeMS(r, uncached, slots) / 1000
+}
+
+// serviceDemand returns the demand of a service at this daemon. The caller holds the lock.
+func (t *tables) serviceDemand(service string) *serviceDemand {
+	s := t.demand[service]
+	if s == nil {
+		s = &serviceDemand{offered: share.NewMeter(), refused: share.NewMeter(), schedule: admit.NewSchedule()}
+		t.demand[service] = s
+	}
+	return s
+}
+
+// setFleet sets the number of known daemons and the difference between the time of day that they agree on and this
+// daemon's clock.
+func (t *tables) setFleet(daemons int, wallOffset time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.daemons, t.wallOffset = daemons, wallOffset
+}
+
+// wall returns the time of day that the daemons agree on. The caller holds the lock.
+func (t *tables) wall(now time.Time) time.Time { return now.Add(t.wallOffset) }
+
+// demandKey returns whose demand the request is.
+func (x *exchange) demandKey() demandKey {
+	return demandKey{service: x.service, account: x.account.Name, route: x.route.Name}
+}
+
+// standing returns what is known of a request that arrives and whose caller waits until a time.
+func (t *tables) standing(key demandKey, waitsUntil, now time.Time) standing {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var s standing
+	s.spent = t.patience.Spent(key.route+"\x00"+key.account, waitsUntil.Sub(now), now)
+	s.returned = admit.Request{Spent: s.spent}.Returns()
+	if d, known := t.demand[key.service]; known {
+		s.expected = d.schedule.Expected(admit.Outlook{Capacity: d.supply.Capacity(t.readyEndpoints(key.service))}, t.wall(now))
+	}
+	return s
+}
+
+// refuse counts a request that is refused for overload and returns when its caller should send it again.
+func (t *tables) refuse(key demandKey, r admit.Return, random float64, now time.Time) promise {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.refresh(now)
+	d := t.serviceDemand(key.service)
+	d.refused.Add("", r.Work, now)
+	outlook := t.outlook(key.service, now)
+	r.Earliest, r.Deadline = t.wall(r.Earliest), t.wall(r.Deadline)
+	p := promise{Promise: d.schedule.Promise(r, outlook, random, t.wall(now)), Offered: outlook.Offered, Capacity: outlook.Capacity, Usual: d.schedule.Usual()}
+	p.RetryAt = now.Add(p.RetryAt.Sub(t.wall(now)))
+	return p
+}
+
+// readyEndpoints returns the number of ready endpoints of a service. The caller holds the lock.
+func (t *tables) readyEndpoints(service string) int {
+	count := 0
+	for _, e := range t.endpoints {
+		if e.Service == service && e.State == setup.Ready {
+			count++
+		}
+	}
+	return count
+}
+
+// outlook returns what is known of the work of a service on all daemons. The caller holds the lock.
+func (t *tables) outlook(service string, now time.Time) admit.Outlook {
+	d := t.serviceDemand(service)
+	offered := 0.0
+	for _, rate := range d.offered.Rates(now) {
+		offered += rate
+	}
+	for _, rate := range t.othersDemand(service, now).offered {
+		offered += rate
+	}
+	return admit.Outlook{Capacity: d.supply.Capacity(t.readyEndpoints(service)), Offered: offered}
+}
+
+// othersDemand returns the demand of the other daemons. The caller holds the lock.
+func (t *tables) othersDemand(service string, now time.Time) demandShare {
+	id := shortID(service)
+	if t.followsHub && now.Sub(t.hubState.demandAt) <= demandTTL {
+		sum := newDemandShare()
+		sum.add(t.hubState.demand[id], 1)
+		return sum
+	}
+	own := t.ownShare(service, now)
+	var all demandShare
+	if t.followsHub {
+		// Nobody sends this daemon what it would need as a hub.
+		all = t.fleetDemand(own, id, now)
+	} else {
+		all = t.fleetDemand(own, id, now, t.peers, t.centres)
+	}
+	all.add(own, -1)
+	return all
+}
+
+// heardDemand returns this daemon's demand with the recent one of peers, and the number of daemons that it covers. The
+// caller holds the lock.
+func (t *tables) heardDemand(own demandShare, service uint32, now time.Time, peers ...map[string]peerState) (demandShare, int) {
+	sum, heard := newDemandShare(), 1
+	sum.add(own, 1)
+	for _, states := range peers {
+		for _, p := range states {
+			if now.Sub(p.demandAt) <= demandTTL {
+				sum.add(p.demand[service], 1)
+				heard += max(p.daemons, 1)
+			}
+		}
+	}
+	return sum, heard
+}
+
+// fleetDemand returns the demand of all daemons: this one's with that of peers. Daemons that have not been heard of for
+// demandTTL count as much as the others on average, since their callers are there all the same. The caller holds the lock.
+func (t *tables) fleetDemand(own demandShare, service uint32, now time.Time, peers ...map[string]peerState) demandShare {
+	sum, heard := t.heardDemand(own, service, now, peers...)
+	if factor := float64(t.daemons) / float64(heard); factor > 1 {
+		for account := range sum.offered {
+			sum.offered[account] *= factor
+		}
+		sum.refused *= factor
+	}
+	return sum
+}
+
+// ownShare returns this daemon's own demand. The caller holds the lock.
+func (t *tables) ownShare(service string, now time.Time) demandShare {
+	own := newDemandShare()
+	d, known := t.demand[service]
+	if !known {
+		return own
+	}
+	for account, rate := range d.offered.Rates(now) {
+		own.offered[shortID(account)] += rate
+	}
+	own.refused, own.promised = d.refused.Rates(now)[""], d.schedule.Own()
+	return own
+}
+
+func newDemandShare() demandShare {
+	return demandShare{offered: map[uint32]float64{}, promised: map[int64]float64{}}
+}
+
+func (s *demandShare) add(o demandShare, factor float64) {
+	for account, rate := range o.offered {
+		s.offered[account] += factor * rate
+	}
+	s.refused += factor * o.refused
+	for slot, work := range o.promised {
+		s.promised[slot] += factor * work
+	}
+}
+
+// without returns demands without a part of them.
+func without(all, part map[uint32]demandShare) map[uint32]demandShare {
+	for service, s := range all {
+		s.add(part[service], -1)
+		maps.DeleteFunc(s.offered, func(_ uint32, rate float64) bool { return rate <= 0 })
+		maps.DeleteFunc(s.promised, func(_ int64, work float64) bool { return work <= 0 })
+		s.refused = max(0, s.refused)
+		all[service] = s
+	}
+	return all
+}
+
+// tickDemand takes up what the last messages tell of the demand and removes what is past. The caller holds the lock.
+func (t *tables) tickDemand(now time.Time) {
+	for service, d := range t.demand {
+		others := t.othersDemand(service, now)
+		d.schedule.SetOthers(others.promised, t.wall(now))
+		outlook := t.outlook(service, now)
+		d.supply = d.supply.With(outlook.Offered, others.refused+d.refused.Rates(now)[""], t.readyEndpoints(service), now)
+		d.schedule.Update(outlook, t.wall(now))
+	}
+}
+
+// demandReports returns the demands of this daemon and of peers for a message: in each message while something is
+// refused or promised, otherwise at intervals. The caller holds the lock.
+func (t *tables) demandReports(kind messageKind, now time.Time, peers ...map[string]peerState) map[uint32]demandReport {
+	own := map[uint32]demandShare{}
+	for service := range t.demand {
+		own[shortID(service)] = t.ownShare(service, now)
+	}
+	services := maps.Clone(own)
+	for _, states := range peers {
+		for _, p := range states {
+			maps.Copy(services, p.demand)
+		}
+	}
+	reports, busy := make(map[uint32]demandReport, len(services)), false
+	for id := range services {
+		sum := own[id]
+		switch kind {
+		case sumKind:
+			sum, _ = t.heardDemand(sum, id, now, peers...)
+		case totalsKind:
+			sum = t.fleetDemand(sum, id, now, peers...)
+		}
+		reports[id] = newDemandReport(sum, t.wall(now))
+		busy = busy || reports[id].Refused > 0 || len(reports[id].Promised) > 0
+	}
+	if !busy && now.Sub(t.demandSentAt[kind]) < demandInterval {
+		return nil
+	}
+	t.demandSentAt[kind] = now
+	if kind == digestKind {
+		t.ownDemand = own
+	}
+	return reports
+}
+
+// newDemandReport returns a demand for a message.
+func newDemandReport(s demandShare, wall time.Time) demandReport {
+	r := demandReport{Offered: make(map[uint32]int, len(s.offered)), Refused: toMilliseconds(s.refused)}
+	r.FirstSlot, r.Promised = admit.Pack(s.promised, wall)
+	for account, rate := range s.offered {
+		if ms := toMilliseconds(rate); ms > 0 {
+			r.Offered[account] = ms
+		}
+	}
+	return r
+}
+
+func toMilliseconds(seconds float64) int { return int(math.Round(seconds * 1000)) }
+
+// readDemand returns the demands in a message.
+func readDemand(reports map[uint32]demandReport, wall time.Time) map[uint32]demandShare {
+	demand := make(map[uint32]demandShare, len(reports))
+	for id, r := range reports {
+		s := demandShare{
+			offered: make(map[uint32]float64, len(r.Offered)), refused: max(0, float64(r.Refused)/1000),
+			promised: admit.Unpack(r.FirstSlot, r.Promised, wall),
+		}
+		for account, ms := range r.Offered {
+			s.offered[account] = max(0, float64(ms)/1000)
+		}
+		demand[id] = s
+	}
+	return demand
+}
--- a/entryd/relay/digest.go
+++ b/entryd/relay/digest.go
@@ -35,6 +35,8 @@
 	starting bool
 	outcomes map[string]outcomes
 	breaks   map[suspect.Key]int
+	// demand is the last one that the hub has received with this digest or before.
+	demand map[uint32]demandShare
 }
 
 // digest returns a message with this daemon's own loads, usage and outcomes. allCounts selects the
@@ -47,6 +49,7 @@
 	m.LoadsTo = math.MaxUint32
 	m.Poison = t.poisonReport(now)
 	m.Limits = t.limitReports(&t.digestLimits, now)
+	m.Demand = t.demandReports(digestKind, now)
 	m.Counts = newestWindows(t.usage.Own(), allCounts)
 	return m
 }
@@ -96,7 +99,7 @@
 	defer t.mutex.Unlock()
 	t.ownParts = append(t.ownParts, ownPart{
 		sequence: m.Sequence, loads: m.Loads, used: m.Used, starting: m.AgeMS < startupAge.Milliseconds(),
-		outcomes: m.Outcomes, breaks: m.Breaks,
+		outcomes: m.Outcomes, breaks: m.Breaks, demand: t.ownDemand,
 	})
 	if extra := len(t.ownParts) - keptDigests; extra > 0 {
 		t.ownParts = slices.Delete(t.ownParts, 0, extra)
@@ -147,6 +150,7 @@
 	same := known && p.incarnation == m.Daemon+m.Incarnation
 	m.Incarnation = m.Daemon + m.Incarnation
 	p = t.applyPeer(p, m, same, t.centreWork, now)
+	p.daemons = m.Totals.Daemons
 	t.centres[m.DataCentre] = p
 	if !t.followsHub {
 		t.quota.Update(quota.Merge{
@@ -170,6 +174,9 @@
 	if m.Limits != nil {
 		p.limits = t.applyLimits(m, now)
 	}
+	if m.Demand != nil {
+		p.demand, p.demandAt = readDemand(m.Demand, t.wall(now)), now
+	}
 	t.prefixTable.observe(m.Prefixes, m.Digest, now)
 	return p
 }
@@ -247,6 +254,9 @@
 	if !known {
 		return
 	}
+	if m.Demand != nil {
+		t.hubState.demand, t.hubState.demandAt = without(readDemand(m.Demand, t.wall(now)), own.demand), now
+	}
 	t.quota.Update(quota.Merge{
 		Daemon: hubName, Incarnation: m.Daemon + m.Incarnation, Used: floats(m.Used), Recent: floats(m.Recent),
 		Daemons: max(m.Totals.Daemons-1, 1), Silent: m.Totals.Silent, SilentAt: silentAt, Now: now,
@@ -420,6 +430,7 @@
 	m := t.sumOf(t.ownMessage(now), starting, t.pastUsed, t.peers, now)
 	m.Prefixes, m.Poison = t.prefixTable.drainCentre(), t.poisonReport(now, t.peers)
 	m.Limits = t.limitReports(&t.sumLimits, now, t.peers)
+	m.Demand = t.demandReports(sumKind, now, t.peers)
 	for service, work := range t.peerWork {
 		m.Work[service] += int64(work)
 	}
@@ -437,6 +448,7 @@
 	m.Prefixes, m.Work = t.prefixTable.drainAll(), nil
 	m.Poison = t.poisonReport(now, t.peers, t.centres)
 	m.Limits = t.limitReports(&t.totalLimits, now, t.peers, t.centres)
+	m.Demand = t.demandReports(totalsKind, now, t.peers, t.centres)
 	t.totalsCursor = m.limitLoads(t.totalsCursor)
 	return m
 }
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -32,6 +32,8 @@
 		arrived time.Time
 		// deadline is the latest time of the final response.
 		deadline time.Time
+		// standing is what the daemons know of the load of the service when the request arrives.
+		standing standing
 		// tried holds the endpoints to which the request was sent.
 		tried map[string]bool
 		// reserved is the endpoint of the next attempt, if one was selected already.
@@ -100,6 +102,7 @@
 	x.service = x.route.PickService(d.random())
 	x.lastEvent = x.call.LastEventID
 	x.logArrival()
+	x.standing = d.tables.standing(x.demandKey(), x.waitsUntil(), x.arrived)
 	d.budget.arrived(x.service, x.arrived)
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
@@ -112,6 +115,7 @@
 		if !ok {
 			return
 		}
+		x.countReturn(len(x.tried))
 		x.tried[next.endpoint.ID] = true
 		result := x.attempt(ctx, next, sends)
 		d.tables.release(next.placed)
@@ -152,6 +156,13 @@
 	}
 }
 
+// countReturn counts a request that was refused before and is now sent to its first endpoint.
+func (x *exchange) countReturn(tried int) {
+	if tried == 0 && x.standing.returned {
+		x.daemon.meters.count("Retries.Kept")
+	}
+}
+
 // mayContinue reports whether another attempt may follow one that has failed. After the last permitted send,
 // the request may still return to an endpoint that a fail-over has left, since that is no further endpoint.
 func (x *exchange) mayContinue(result outcome, sends int) bool {
@@ -190,7 +201,7 @@
 		if x.reserveSilent(notSent) {
 			return x.takeReserved()
 		}
-		x.refuseOverload(verdict, next.picked)
+		x.refuseOverload(verdict, next)
 		return next, false
 	}
 	return next, true
@@ -206,7 +217,7 @@
 
 func (x *exchange) selectFrom(r placeRequest) (next selection, ok bool) {
 	d := x.daemon
-	r.service, r.call, r.target = x.service, x.call, x.route.LatencyTarget
+	r.service, r.call, r.target, r.account = x.service, x.call, x.route.LatencyTarget, x.account.Name
 	next.endpoint, next.picked, next.placed, ok = d.tables.place(r, d.clock.now(), d.random)
 	return next, ok
 }
@@ -255,13 +266,17 @@
 		x.fail(notSent, "NoEndpoint")
 		return
 	}
-	// The route's timeout ends this request, not the caller's wait.
-	waitsUntil := x.call.Deadline
-	if waitsUntil.IsZero() {
-		waitsUntil = x.deadline
-	}
 	x.refuse(http.StatusServiceUnavailable, "EndpointsReject",
-		admit.RetryAt(opensAt, noEndpointRetry, waitsUntil.Sub(now), now), "OpensAt", opensAt)
+		admit.RetryAt(opensAt, noEndpointRetry, x.waitsUntil().Sub(now), now), "OpensAt", opensAt)
+}
+
+// waitsUntil returns until when the caller waits for the answer. The route's timeout ends the request, not the
+// caller's wait.
+func (x *exchange) waitsUntil() time.Time {
+	if x.call.Deadline.IsZero() {
+		return x.deadline
+	}
+	return x.call.Deadline
 }
 
 // checkAdmission decides whether the request may go to the selected endpoint, by its predicted wait.
@@ -274,7 +289,7 @@
 	return admit.Decide(admit.Request{
 		Wait: milliseconds(picked.Wait), Own: milliseconds(picked.Own()),
 		Target: x.route.LatencyTarget, Left: x.deadline.Sub(now), Rank: x.route.Priority,
-		Answer: x.answerTime(picked), StopAt: x.daemon.stopTime(),
+		Answer: x.answerTime(picked), StopAt: x.daemon.stopTime(), Spent: x.standing.spent, Expected: x.standing.expected,
 	}, now)
 }
 
@@ -287,17 +302,48 @@
 }
 
 // refuseOverload refuses a request that no endpoint has the capacity to serve in time, or before the daemon stops.
-func (x *exchange) refuseOverload(verdict admit.Decision, picked choice.Picked) {
-	reason := "Overload"
-	if verdict.Stopping {
-		reason = "Draining"
-	}
+func (x *exchange) refuseOverload(verdict admit.Decision, next selection) {
 	if x.mayHaveRun || x.failedResponse != nil {
-		x.fail(broken, reason)
+		x.fail(broken, overloadReason(verdict))
 		return
 	}
-	x.refuse(http.StatusServiceUnavailable, reason, verdict.RetryAt, "Predicted", int(picked.Wait),
-		"Limit", verdict.Limit.Milliseconds(), "Load", picked.Candidate.Load.Requests)
+	fields := []any{
+		"Predicted", int(next.picked.Wait), "Limit", verdict.Limit.Milliseconds(), "Load", next.picked.Candidate.Load.Requests,
+	}
+	retryAt := verdict.RetryAt
+	if !verdict.Stopping {
+		d := x.daemon
+		promised := d.tables.refuse(x.demandKey(), admit.Return{
+			Work: next.placed.work, Earliest: verdict.EarliestRetry, Deadline: x.waitsUntil(),
+		}, d.random(), d.clock.now())
+		retryAt = promised.RetryAt
+		fields = append(fields, "Returned", x.standing.returned, "Slot", promised.Slot, "Room", promised.Room,
+			"Work", int(1000*next.placed.work), "Offered", promised.Offered, "Capacity", promised.Capacity, "Usual", promised.Usual)
+		x.countOverload(promised.Room)
+	}
+	x.refuse(http.StatusServiceUnavailable, overloadReason(verdict), retryAt, fields...)
+}
+
+func overloadReason(verdict admit.Decision) string {
+	if verdict.Stopping {
+		return "Draining"
+	}
+	return "Overload"
+}
+
+// countOverload counts a refusal for overload by whether the request seems to have been refused before.
+func (x *exchange) countOverload(room bool) {
+	m := x.daemon.meters
+	if x.standing.returned {
+		m.count("Overload.Again")
+	} else {
+		m.count("Overload.First")
+	}
+	if room {
+		m.count("Retries.Promised")
+	} else {
+		m.count("Retries.WithoutRoom")
+	}
 }
 
 func milliseconds(count float64) time.Duration {
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -61,6 +61,9 @@
 		Poison *poison.Report `cbor:"39,keyasint,omitempty"`
 		// Limits holds the numbers of requests a second that endpoints take, by short identifiers.
 		Limits map[uint32]limitReport `cbor:"43,keyasint,omitempty"`
+		// Demand holds what callers ask of each service, by short identifiers of services: of the sender in a digest,
+		// of its data centre in a sum, of all daemons in totals.
+		Demand map[uint32]demandReport `cbor:"44,keyasint,omitempty"`
 		// Outcomes are the outcomes of roll-outs, by service.
 		Outcomes map[string]outcomes `cbor:"21,keyasint,omitempty"`
 		// Recent is the part of Used by processes that have just started, AgeMS the time since the
@@ -112,6 +115,18 @@
 		EndedEra int64 `cbor:"8,keyasint,omitempty"`
 	}
 
+	// demandReport is what callers ask of a service, in milliseconds of endpoint time.
+	demandReport struct {
+		_ struct{} `cbor:",toarray"`
+		// Offered is the work per second by short identifiers of client accounts, Refused the part of it that was
+		// refused for overload.
+		Offered map[uint32]int
+		Refused int
+		// Promised is the work of refused requests that were told to return, by time slot from FirstSlot on.
+		FirstSlot uint16
+		Promised  []int
+	}
+
 	// referral is what a message says about another daemon than its sender.
 	referral struct {
 		Name         string  `cbor:"1,keyasint"`
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -12,6 +12,7 @@
 //   - watch: the readers of the log's streams, which update the tables
 //   - members, gossip, digest, freshness: the other daemons, the messages between them, and the
 //     age of the reads that one daemon, the reader, makes for the others
+//   - demand: what callers ask of each service on all daemons, and the times at which refused callers return
 //   - quarantine, poison: requests, and parts of prompts, that crash endpoints
 //   - rollout, timing: roll-outs, and the comparison of the new version with the old one
 //   - leader: the lease of the platform calls that only one daemon at a time may make
@@ -298,6 +299,7 @@
 // tickTables expires time-dependent state of the tables and resizes the retry budget.
 func (d *Daemon) tickTables(ctx context.Context) error {
 	return every(ctx, tickInterval, func() {
+		d.tables.setFleet(d.members.count(), d.clock.wallNow().Sub(d.clock.now()))
 		d.publishChanges(d.tables.tick(d.clock.now()))
 		d.logPoison()
 		d.logRollouts()
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/decide/pace"
@@ -86,6 +87,16 @@
 		poisonChanges []poison.Command
 		// paces holds the observed speed of each service's engines.
 		paces map[string]*pace.State
+		// demand is what callers ask of each service at this daemon. demandSentAt are the times of the last messages
+		// with demands by kind, ownDemand the demand in the last digest with one.
+		demand       map[string]*serviceDemand
+		demandSentAt map[messageKind]time.Time
+		ownDemand    map[uint32]demandShare
+		patience     admit.Patience
+		// daemons is the number of known daemons, wallOffset the difference between the time of day that the daemons
+		// agree on and this daemon's clock.
+		daemons    int
+		wallOffset time.Duration
 		// misdirected holds the endpoints whose address belongs to another endpoint, each with the
 		// time of its registration.
 		misdirected map[string]int64
@@ -97,7 +108,7 @@
 		receivedAt  time.Time
 		incarnation string
 		starting    bool
-		// daemons is the number of daemons that the hub knows.
+		// daemons is the number of daemons that the hub knows, or that the other data centre has.
 		daemons int
 		// sequence is the number of the last digest.
 		sequence int64
@@ -113,6 +124,9 @@
 		poison   poison.Evidence
 		// limits are those that the peer has heard of.
 		limits map[uint32]statedLimit
+		// demand is what the peer has last reported of its callers, at demandAt.
+		demand   map[uint32]demandShare
+		demandAt time.Time
 		// responses holds the times of responses to suspect requests.
 		responses map[suspect.Key]time.Time
 		// followUntil is when the daemon stops receiving totals unless it asks again.
@@ -127,6 +141,8 @@
 		sent bool
 		// source is the address of an endpoint that has cached a part of the prompt; empty for none.
 		source string
+		// work is the endpoint time of the request in seconds.
+		work float64
 	}
 )
 
@@ -167,6 +183,7 @@
 		work: map[string]float64{}, placed: map[string]float64{},
 		limits: map[uint32]statedLimit{}, ownLimits: map[uint32]statedLimit{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
+		demand:      map[string]*serviceDemand{}, demandSentAt: map[messageKind]time.Time{}, daemons: 1,
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{},
 	}
 }
@@ -274,6 +291,7 @@
 	t.health, _ = t.health.Update(health.Tick{Time: now})
 	t.prefixTable.expire(now)
 	t.updatePoison(poison.Tick{Now: now})
+	t.tickDemand(now)
 	return changes
 }
 
@@ -528,6 +546,8 @@
 	service string
 	call    Call
 	target  time.Duration
+	// account is the name of the client account; empty without accounts.
+	account string
 	// tried holds the endpoints that must not get the call again.
 	tried map[string]bool
 	// only is the only endpoint that may get the call, although it was tried; empty for any other one.
@@ -572,6 +592,10 @@
 		}
 		t.prefixTable.place(endpoint.ID, r.call.Parts, now)
 	}
+	p.work = workSeconds(request, picked.Uncached, endpoint.Slots)
+	if len(r.tried) == 0 && r.only == "" {
+		t.serviceDemand(r.service).offered.Add(r.account, p.work, now)
+	}
 	t.own[endpoint.ID] = t.own[endpoint.ID].Plus(p.load)
 	t.quota.CountEndpoint(limitKey(endpoint.ID))
 	t.health, _ = t.health.Update(health.Sent{Time: now, Instance: endpoint.ID})
--- a/lsbench/engine.go
+++ b/lsbench/engine.go
@@ -26,6 +26,8 @@
 		usedTokens, cachedTokens int
 		recent                   *list.List
 		cached                   map[string]*list.Element
+		// slowness is by how much a step that begins now takes longer; nil if no step does.
+		slowness func() float64
 	}
 
 	// job is one request at an engine.
@@ -114,6 +116,9 @@
 		budget -= read
 	}
 	ms := e.spec.StepMS + stepMSPerRequest*float64(len(e.running)) + float64(maxChunkTokens-budget)/e.spec.ReadPerMS
+	if e.slowness != nil {
+		ms *= e.slowness()
+	}
 	e.after(time.Duration(ms*float64(time.Millisecond)), e.finishStep)
 }
 
--- a/lsbench/load.go
+++ b/lsbench/load.go
@@ -47,6 +47,9 @@
 		Target  int     `json:"Target"`
 		Left    int     `json:"Left"`
 		Rank    int     `json:"Rank,omitempty"`
+		// Account is the number of the client account and Kind that of the kind of request in simulated loads.
+		Account string `json:"Account,omitempty"`
+		Kind    int    `json:"Kind,omitempty"`
 		// First is the time to the first event as measured by the daemon, negative if there was none.
 		First int `json:"First"`
 	}
--- a/lsbench/replay.go
+++ b/lsbench/replay.go
@@ -48,6 +48,10 @@
 		load        load
 		// unpublished holds the prefixes that were sent since the last digests.
 		unpublished []cachedPrefix
+		// again sends a request again whose engine was removed; nil stands for arrive.
+		again func(i int)
+		// ended is called when an engine is done with a request; nil for no call.
+		ended func(i int, e *engine)
 	}
 
 	// replayDaemon is a daemon's view of the load: its own placements, and those of the other
@@ -295,8 +299,15 @@
 		},
 		onDone: func() {
 			m.addLoad(d, e.id, choice.Load{}.Minus(placed))
+			if m.ended != nil {
+				m.ended(i, e)
+			}
 			if m.results[i].firstEvent < 0 && m.results[i].attempts < maxAttempts {
-				m.arrive(i)
+				if m.again != nil {
+					m.again(i)
+				} else {
+					m.arrive(i)
+				}
 			}
 		},
 	})
