--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -186,7 +186,7 @@
 		limits: map[uint32]statedLimit{}, ownLimits: map[uint32]statedLimit{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{}, speeds: newEndpointSpeeds(),
-		demand:      map[string]*serviceDemand{}, demandSentAt: map[messageKind]time.Time{}, daemons: 1,
+		demand: map[string]*serviceDemand{}, demandSentAt: map[messageKind]time.Time{}, daemons: 1,
 	}
 }
 
