--- a/decide/admit/admit.go
+++ b/decide/admit/admit.go
@@ -17,7 +17,11 @@
 // The package has no state and no clock.
 package admit
 
-import "time"
+import (
+	"time"
+
+	"lentilstage.dev/decide/share"
+)
 
 type (
 	// Request describes a request to be admitted.
@@ -40,6 +44,10 @@
 		Spent float64
 		// Expected is the engine time of requests that were refused and told to return about now.
 		Expected time.Duration
+		// Standing is how the request stands in the division of a scarce capacity between accounts.
+		Standing share.Standing
+		// UrgentTarget is the lowest target of more urgent requests to the service in a shortage; 0 if there are none.
+		UrgentTarget time.Duration
 	}
 
 	// Decision is the result of Decide.
@@ -78,6 +86,11 @@
 	// expectedFraction of the target is the most by which the work of returning requests reduces the limit of
 	// others.
 	expectedFraction = 0.2
+	// In a shortage, the limit of requests beyond their account's share is lower by beyondFraction of the target, so
+	// that they are admitted only while there is capacity that no other account asks for. That of accounts that ask
+	// for no more than their share is higher by belowFraction.
+	beyondFraction = 0.35
+	belowFraction  = 0.05
 	// patienceDivisor divides the time until the deadline: for longer than the result, callers don't wait
 	// before they retry.
 	patienceDivisor = 3
@@ -93,12 +106,22 @@
 		return Decision{Stopping: true, RetryAt: now.Add(StopRetryDelay)}
 	}
 	fraction := waitFraction - rankFraction*float64(r.Rank)
-	if r.Returns() {
+	switch {
+	case r.Standing == share.Beyond:
+		fraction -= beyondFraction
+	case r.Returns():
 		fraction += returnFraction
-	} else {
+	default:
 		fraction -= min(float64(r.Expected)/float64(r.Target), expectedFraction)
 	}
+	if r.Standing == share.Below {
+		fraction += belowFraction
+	}
 	v := Decision{Limit: max(time.Duration(fraction*float64(r.Target))-r.Own, time.Duration(minQueueFraction*float64(r.Target)))}
+	if r.UrgentTarget > 0 {
+		// With a longer target, it would be admitted to longer queues than the more urgent ones.
+		v.Limit = min(v.Limit, time.Duration(max(fraction, minQueueFraction)*float64(r.UrgentTarget)))
+	}
 	queue := r.Wait - r.Own
 	v.Admitted = queue <= v.Limit && float64(r.Wait) <= deadlineFraction*float64(r.Left)
 	if !v.Admitted {
--- a/decide/limit/grant.go
+++ b/decide/limit/grant.go
@@ -1,5 +1,7 @@
 package limit
 
+import "lentilstage.dev/decide/share"
+
 type (
 	// Claim holds an account's share, demand and cap, from which its grant is computed.
 	Claim struct {
@@ -41,28 +43,11 @@
 // lend raises the grants in proportion to the shares, up to the given bounds, and returns the
 // remaining capacity.
 func lend(grants []float64, remaining float64, claims []Claim, bound func(Claim) float64) float64 {
-	// Each round raises at least one account to its bound or lends all remaining capacity.
-	for range claims {
-		weights := 0.0
-		for i, c := range claims {
-			if grants[i] < bound(c) {
-				weights += max(c.Share, minWeight)
-			}
-		}
-		if weights == 0 || remaining <= 0 {
-			break
-		}
-		lent := 0.0
-		for i, c := range claims {
-			if headroom := bound(c) - grants[i]; headroom > 0 {
-				increase := min(headroom, remaining*max(c.Share, minWeight)/weights)
-				grants[i] += increase
-				lent += increase
-			}
-		}
-		remaining -= lent
+	shared := make([]share.Claim, len(claims))
+	for i, c := range claims {
+		shared[i] = share.Claim{Weight: max(c.Share, minWeight), Bound: bound(c)}
 	}
-	return remaining
+	return share.Fill(grants, remaining, shared)
 }
 
 func (c Claim) ceiling(capacity float64) float64 {
--- a/entryd/relay/demand.go
+++ b/entryd/relay/demand.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"lentilstage.dev/decide/admit"
@@ -18,6 +19,7 @@
 		offered, refused *share.Meter
 		schedule         *admit.Schedule
 		supply           share.Supply
+		division         *share.Division
 	}
 
 	// demandShare is the demand of one or more daemons, in seconds of endpoint time.
@@ -38,6 +40,21 @@
 		returned bool
 		// expected is the time that endpoints need for requests that were told to return about now.
 		expected time.Duration
+		// division is how the request stands in the division of the capacity between accounts, share the part of its
+		// account's requests that has room.
+		division share.Standing
+		share    float64
+		// urgentTarget is the lowest target of more urgent routes of the service in a shortage; 0 if there are none.
+		urgentTarget time.Duration
+	}
+
+	// shortageChange reports that a shortage of a service has begun or ended.
+	shortageChange struct {
+		service                    string
+		short                      bool
+		offered, refused, capacity float64
+		// accounts is the number of accounts, above that of those that ask for more than their share.
+		accounts, above int
 	}
 
 	// promise is when a refused caller should return, with what that was based on.
@@ -79,7 +96,7 @@
 func (t *tables) serviceDemand(service string) *serviceDemand {
 	s := t.demand[service]
 	if s == nil {
-		s = &serviceDemand{offered: share.NewMeter(), refused: share.NewMeter(), schedule: admit.NewSchedule()}
+		s = &serviceDemand{offered: share.NewMeter(), refused: share.NewMeter(), schedule: admit.NewSchedule(), division: share.NewDivision(t.phase)}
 		t.demand[service] = s
 	}
 	return s
@@ -105,15 +122,37 @@
 func (t *tables) standing(key demandKey, waitsUntil, now time.Time) standing {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var s standing
+	s := standing{share: 1}
 	s.spent = t.patience.Spent(key.route+"\x00"+key.account, waitsUntil.Sub(now), now)
 	s.returned = admit.Request{Spent: s.spent}.Returns()
 	if d, known := t.demand[key.service]; known {
 		s.expected = d.schedule.Expected(admit.Outlook{Capacity: d.supply.Capacity(t.readyEndpoints(key.service))}, t.wall(now))
+		if d.division.Short() {
+			account := shortID(key.account)
+			s.division, s.share = d.division.Take(account, s.returned), d.division.Fraction(account)
+			s.urgentTarget = urgentTarget(t.config, key)
+		}
 	}
 	return s
 }
 
+// urgentTarget returns the lowest target of the routes of a service that are more urgent than a request's; 0 if there are
+// none.
+func urgentTarget(config *setup.Config, key demandKey) time.Duration {
+	own := slices.IndexFunc(config.Routes, func(r setup.Route) bool { return r.Name == key.route })
+	if own < 0 {
+		return 0
+	}
+	var lowest time.Duration
+	for _, r := range config.Routes {
+		serves := slices.ContainsFunc(r.ServiceWeights, func(w setup.ServiceWeight) bool { return w.Service == key.service })
+		if serves && r.Priority < config.Routes[own].Priority && r.LatencyTarget > 0 && (lowest == 0 || r.LatencyTarget < lowest) {
+			lowest = r.LatencyTarget
+		}
+	}
+	return lowest
+}
+
 // refuse counts a request that is refused for overload and returns when its caller should send it again.
 func (t *tables) refuse(key demandKey, r admit.Return, random float64, now time.Time) promise {
 	t.mutex.Lock()
@@ -244,11 +283,66 @@
 // tickDemand takes up what the last messages tell of the demand and removes what is past. The caller holds the lock.
 func (t *tables) tickDemand(now time.Time) {
 	for service, d := range t.demand {
-		others := t.othersDemand(service, now)
-		d.schedule.SetOthers(others.promised, t.wall(now))
+		all := t.othersDemand(service, now)
+		d.schedule.SetOthers(all.promised, t.wall(now))
 		outlook := t.outlook(service, now)
-		d.supply = d.supply.With(outlook.Offered, others.refused+d.refused.Rates(now)[""], t.readyEndpoints(service), now)
+		own := t.ownShare(service, now)
+		own.promised = nil
+		all.add(own, 1)
+		d.supply = d.supply.With(outlook.Offered, all.refused, t.readyEndpoints(service), now)
 		d.schedule.Update(outlook, t.wall(now))
+		if d.division.Update(share.Load{Offered: all.offered, Refused: all.refused, Capacity: outlook.Capacity}, now) {
+			t.shortageChanges = append(t.shortageChanges, shortageChange{
+				service: service, short: d.division.Short(), offered: outlook.Offered, refused: all.refused, capacity: outlook.Capacity,
+				accounts: len(all.offered), above: d.division.Above(),
+			})
+		}
+	}
+}
+
+// drainShortages returns the shortages that have begun or ended since the last call.
+func (t *tables) drainShortages() []shortageChange {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	changes := t.shortageChanges
+	t.shortageChanges = nil
+	return changes
+}
+
+// serviceLoads returns the demand of each service for the gauges.
+func (t *tables) serviceLoads(now time.Time) map[string]serviceGauges {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	loads := make(map[string]serviceGauges, len(t.demand))
+	for service, d := range t.demand {
+		outlook := t.outlook(service, now)
+		loads[service] = serviceGauges{offered: outlook.Offered, capacity: outlook.Capacity, above: d.division.Above()}
+	}
+	return loads
+}
+
+// serviceGauges is what the gauges tell of a service.
+type serviceGauges struct {
+	offered, capacity float64
+	above             int
+}
+
+// logDemand logs shortages that have begun or ended, and sets the gauges.
+func (d *Daemon) logDemand() {
+	logger := d.logger.WithName("demand")
+	for _, c := range d.tables.drainShortages() {
+		message := "Shortage ended."
+		if c.short {
+			message = "Shortage began."
+			d.meters.count("Shortages.Begun")
+		}
+		logger.Info(message, "Service", c.service, "Offered", c.offered, "Refused", c.refused, "Capacity", c.capacity,
+			"Accounts", c.accounts, "AboveShare", c.above)
+	}
+	for service, g := range d.tables.serviceLoads(d.clock.now()) {
+		d.meters.setGauge("Demand.OfferedMilliseconds."+service, int64(toMilliseconds(g.offered)))
+		d.meters.setGauge("Demand.CapacityMilliseconds."+service, int64(toMilliseconds(g.capacity)))
+		d.meters.setGauge("Demand.AccountsAboveShare."+service, int64(g.above))
 	}
 }
 
--- a/entryd/relay/demand_test.go
+++ b/entryd/relay/demand_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilstage.dev/decide/admit"
+	"lentilstage.dev/decide/share"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -130,3 +131,63 @@
 		t.Errorf("%d messages with demands in a second after a refusal", got)
 	}
 }
+
+// TestShortageIsDividedEverywhere guards against daemons that see no shortage while another one refuses, that divide
+// differently, or that go on after its end. One account has all its callers at one daemon.
+func TestShortageIsDividedEverywhere(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := newCentre("a", 3)
+	daemons := append([]*tables{a.hub}, a.followers...)
+	for _, d := range daemons {
+		d.setFleet(4, 0)
+		d.config = &setup.Config{Routes: []setup.Route{
+			{Name: "chat", Priority: 1, LatencyTarget: time.Second, ServiceWeights: []setup.ServiceWeight{{Service: "pool", Weight: 1}}},
+			{Name: "fix", LatencyTarget: 400 * time.Millisecond, ServiceWeights: []setup.ServiceWeight{{Service: "pool", Weight: 1}}},
+		}}
+		d.listed = true
+		for i := range 4 {
+			id := fmt.Sprint("e", i)
+			d.putEndpoint(Record{Key: id, Offset: int64(i + 1)}, setup.Endpoint{ID: id, Service: "pool", State: setup.Ready, StartedAtMS: 1}, now)
+		}
+	}
+	run := func(length time.Duration, surge, refused float64) {
+		for end := now.Add(length); now.Before(end); {
+			now = now.Add(100 * time.Millisecond)
+			for _, d := range daemons {
+				d.offer("usual", 0.05, now)
+				d.tick(now)
+			}
+			daemons[1].offer("surging", 0.1*surge, now)
+			if refused > 0 {
+				daemons[1].refuse(demandKeyOf("surging"), admit.Return{Work: refused, Earliest: now, Deadline: now.Add(3 * time.Second)}, 0.5, now)
+			}
+			a.collect("a", now)
+			a.publish(t, "a", now)
+		}
+	}
+	run(40*time.Second, 1, 0)
+	for i, d := range daemons {
+		if s := d.standing(demandKeyOf("surging"), now.Add(3*time.Second), now); s.division != share.Undivided || s.urgentTarget != 0 {
+			t.Errorf("daemon %d divides without a shortage: %+v", i, s)
+		}
+	}
+	run(3*time.Second, 5, 0.2)
+	for i, d := range daemons {
+		s, usual := d.standing(demandKeyOf("surging"), now.Add(3*time.Second), now), d.standing(demandKeyOf("usual"), now.Add(3*time.Second), now)
+		if s.division != share.Within && s.division != share.Beyond || s.share < 0.3 || s.share > 0.7 {
+			t.Errorf("daemon %d: the surging account is %v with a share of %.2f", i, s.division, s.share)
+		}
+		if usual.division != share.Below || usual.share != 1 || usual.urgentTarget != 400*time.Millisecond {
+			t.Errorf("daemon %d: the account at its usual rate is %v with a share of %.2f and an urgent target of %v", i, usual.division, usual.share, usual.urgentTarget)
+		}
+	}
+	run(6*time.Second, 1, 0)
+	for i, d := range daemons {
+		if s := d.standing(demandKeyOf("surging"), now.Add(3*time.Second), now); s.division != share.Undivided {
+			t.Errorf("daemon %d still divides", i)
+		}
+		if changes := d.drainShortages(); len(changes) != 2 || !changes[0].short || changes[1].short {
+			t.Errorf("daemon %d reports %+v, want the begin and the end of a shortage", i, changes)
+		}
+	}
+}
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -11,6 +11,7 @@
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/decide/poison"
 	"lentilstage.dev/decide/retry"
+	"lentilstage.dev/decide/share"
 	"lentilstage.dev/decide/suspect"
 	"lentilstage.dev/domain/setup"
 )
@@ -290,6 +291,7 @@
 		Wait: milliseconds(picked.Wait), Own: milliseconds(picked.Own()),
 		Target: x.route.LatencyTarget, Left: x.deadline.Sub(now), Rank: x.route.Priority,
 		Answer: x.answerTime(picked), StopAt: x.daemon.stopTime(), Spent: x.standing.spent, Expected: x.standing.expected,
+		Standing: x.standing.division, UrgentTarget: x.standing.urgentTarget,
 	}, now)
 }
 
@@ -317,7 +319,7 @@
 			Work: next.placed.work, Earliest: verdict.EarliestRetry, Deadline: x.waitsUntil(),
 		}, d.random(), d.clock.now())
 		retryAt = promised.RetryAt
-		fields = append(fields, "Returned", x.standing.returned, "Slot", promised.Slot, "Room", promised.Room,
+		fields = append(fields, "Standing", x.standing.division, "Share", x.standing.share, "Returned", x.standing.returned, "Slot", promised.Slot, "Room", promised.Room,
 			"Work", int(1000*next.placed.work), "Offered", promised.Offered, "Capacity", promised.Capacity, "Usual", promised.Usual)
 		x.countOverload(promised.Room)
 	}
@@ -334,6 +336,9 @@
 // countOverload counts a refusal for overload by whether the request seems to have been refused before.
 func (x *exchange) countOverload(room bool) {
 	m := x.daemon.meters
+	if x.standing.division != share.Undivided {
+		m.count("Overload." + x.standing.division.String())
+	}
 	if x.standing.returned {
 		m.count("Overload.Again")
 	} else {
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -302,6 +302,7 @@
 		d.tables.setFleet(d.members.count(), d.clock.wallNow().Sub(d.clock.now()))
 		d.publishChanges(d.tables.tick(d.clock.now()))
 		d.logPoison()
+		d.logDemand()
 		d.logRollouts()
 		d.logSpeeds()
 		d.budget.resize(d.members.count())
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -95,6 +95,10 @@
 		demandSentAt map[messageKind]time.Time
 		ownDemand    map[uint32]demandShare
 		patience     admit.Patience
+		// shortageChanges are the shortages that have begun or ended and are to be logged.
+		shortageChanges []shortageChange
+		// phase is a number in [0, 1) that differs between daemons.
+		phase float64
 		// daemons is the number of known daemons, wallOffset the difference between the time of day that the daemons
 		// agree on and this daemon's clock.
 		daemons    int
@@ -186,7 +190,7 @@
 		limits: map[uint32]statedLimit{}, ownLimits: map[uint32]statedLimit{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{}, speeds: newEndpointSpeeds(),
-		demand: map[string]*serviceDemand{}, demandSentAt: map[messageKind]time.Time{}, daemons: 1,
+		demand: map[string]*serviceDemand{}, demandSentAt: map[messageKind]time.Time{}, daemons: 1, phase: quotaPhase(s.Name),
 	}
 }
 
--- a/lsbench/shortage.go
+++ b/lsbench/shortage.go
@@ -110,8 +110,8 @@
 	// shortagePolicy is a way to deal with a shortage.
 	shortagePolicy struct {
 		name string
-		// scheduled takes the retry times from schedules.
-		scheduled bool
+		// scheduled takes the retry times from schedules, divided divides the capacity between accounts and kinds.
+		scheduled, divided bool
 	}
 
 	// shortageModel simulates a script. Callers send a refused request again once, to a random daemon.
@@ -134,6 +134,7 @@
 		schedule *admit.Schedule
 		supply   share.Supply
 		patience admit.Patience
+		division *share.Division
 		others   shortageReport
 	}
 
@@ -160,6 +161,8 @@
 		value float64
 		// kinds and accounts are the parts served, by rank and by account.
 		kinds, accounts []float64
+		// accountsInTime are the parts served in time by account.
+		accountsInTime []float64
 	}
 )
 
@@ -169,6 +172,7 @@
 var shortagePolicies = []shortagePolicy{
 	{name: "as before"},
 	{name: "scheduled retries", scheduled: true},
+	{name: "and divided", scheduled: true, divided: true},
 }
 
 // Name returns the command's name.
@@ -198,14 +202,14 @@
 	for _, s := range scripts {
 		var o output
 		o.line("%s: means of %d seeds, percent of all requests", s.Name, c.seeds)
-		rows := [][]string{row("", "value", "in time", "from first", "late", "refused once", "twice", "by rank", "by account")}
+		rows := [][]string{row("", "value", "in time", "from first", "late", "refused once", "twice", "by rank", "by account", "in time by account")}
 		for _, p := range shortagePolicies {
 			var sum shortageSummary
 			for seed := range c.seeds {
 				sum = sum.plus(summarizeShortage(s, simulateShortage(s, p, seed+1)), float64(c.seeds))
 			}
 			rows = append(rows, row(p.name, percent(sum.value), percent(sum.inTime), percent(sum.inTimeFirst), percent(sum.late),
-				percent(sum.refusedOnce), percent(sum.refusedTwice), percents(sum.kinds), percents(sum.accounts)))
+				percent(sum.refusedOnce), percent(sum.refusedTwice), percents(sum.kinds), percents(sum.accounts), percents(sum.accountsInTime)))
 		}
 		o.table(rows)
 		fmt.Print(o.text.String())
@@ -351,7 +355,7 @@
 		m.names = append(m.names, name)
 		m.daemons[name] = &replayDaemon{name: name, own: map[string]choice.Load{}, others: map[string]choice.Load{}, cached: map[cachedPrefix]time.Time{}}
 		m.control[name] = &shortageDaemon{
-			centre: n % s.Centres, meter: share.NewMeter(), refused: share.NewMeter(), schedule: admit.NewSchedule(),
+			centre: n % s.Centres, meter: share.NewMeter(), refused: share.NewMeter(), schedule: admit.NewSchedule(), division: share.NewDivision(m.random.Float64()),
 		}
 	}
 	for _, c := range l.Changes {
@@ -416,10 +420,17 @@
 		spent = c.patience.Spent(a.Account+"/"+strconv.Itoa(a.Kind), deadline.Sub(m.now), m.now)
 		expected = c.schedule.Expected(m.outlook(c), m.now)
 	}
+	standing, urgentTarget := share.Undivided, time.Duration(0)
+	if m.policy.divided {
+		standing = c.division.Take(accountNumber(a.Account), admit.Request{Spent: spent}.Returns())
+		if c.division.Short() {
+			urgentTarget = m.urgentTarget(a.Rank)
+		}
+	}
 	decide := func(picked choice.Picked) admit.Decision {
 		return admit.Decide(admit.Request{
 			Wait: fromMilliseconds(picked.Wait), Own: fromMilliseconds(picked.Own()), Target: fromMilliseconds(float64(a.Target)),
-			Left: deadline.Sub(m.now), Rank: a.Rank, Spent: spent, Expected: expected,
+			Left: deadline.Sub(m.now), Rank: a.Rank, Spent: spent, Expected: expected, Standing: standing, UrgentTarget: urgentTarget,
 		}, m.now)
 	}
 	request.Admits = func(picked choice.Picked) bool { return decide(picked).Admitted }
@@ -441,6 +452,17 @@
 	m.after(retryAt.Sub(m.now), func() { m.offer(i, m.names[m.random.IntN(len(m.names))]) })
 }
 
+// urgentTarget returns the lowest target of the more urgent kinds; 0 if there are none.
+func (m *shortageModel) urgentTarget(rank int) time.Duration {
+	lowest := 0
+	for _, k := range m.script.Kinds {
+		if k.Rank < rank && (lowest == 0 || k.Target < lowest) {
+			lowest = k.Target
+		}
+	}
+	return fromMilliseconds(float64(lowest))
+}
+
 // outlook returns what a daemon knows of the load of all.
 func (m *shortageModel) outlook(c *shortageDaemon) admit.Outlook {
 	o := admit.Outlook{Capacity: c.supply.Capacity(len(m.endpointIDs))}
@@ -453,6 +475,22 @@
 	return o
 }
 
+// offered returns what a daemon knows of the work that each account offers.
+func (m *shortageModel) offered(c *shortageDaemon) map[uint32]float64 {
+	offered := map[uint32]float64{}
+	for _, rates := range []map[string]float64{c.meter.Rates(m.now), c.others.offered} {
+		for account, rate := range rates {
+			offered[accountNumber(account)] += rate
+		}
+	}
+	return offered
+}
+
+func accountNumber(account string) uint32 {
+	number, _ := strconv.Atoi(account)
+	return uint32(number)
+}
+
 // sendReports delivers to each daemon, after a delay, what the others offer, refuse and promise.
 func (m *shortageModel) sendReports(delay time.Duration) {
 	sums := make([]shortageReport, m.script.Centres)
@@ -466,6 +504,7 @@
 		refused := c.others.refused + c.refused.Rates(m.now)[""]
 		c.supply = c.supply.With(o.Offered, refused, len(m.endpointIDs), m.now)
 		c.schedule.Update(o, m.now)
+		c.division.Update(share.Load{Offered: m.offered(c), Refused: refused, Capacity: o.Capacity}, m.now)
 		r := shortageReport{offered: c.meter.Rates(m.now), refused: c.refused.Rates(m.now)[""], promised: c.schedule.Own()}
 		own[name] = r
 		sums[c.centre].add(r, 1)
@@ -509,7 +548,9 @@
 // summarizeShortage summarizes the outcomes of a run.
 func summarizeShortage(s shortageScript, m *shortageModel) shortageSummary {
 	const lateValue, refusedTwiceCost = 0.1, 0.3
-	r := shortageSummary{kinds: make([]float64, len(s.Kinds)), accounts: make([]float64, len(s.Accounts))}
+	r := shortageSummary{
+		kinds: make([]float64, len(s.Kinds)), accounts: make([]float64, len(s.Accounts)), accountsInTime: make([]float64, len(s.Accounts)),
+	}
 	kinds, accounts := make([]float64, len(s.Kinds)), make([]float64, len(s.Accounts))
 	for i, a := range m.load.Arrivals {
 		account, _ := strconv.Atoi(a.Account)
@@ -529,6 +570,7 @@
 		r.accounts[account]++
 		if first-(call.attemptAt-a.At) <= float64(a.Target) {
 			r.inTime++
+			r.accountsInTime[account]++
 		} else {
 			r.late++
 		}
@@ -546,6 +588,7 @@
 	}
 	for i := range accounts {
 		r.accounts[i] /= max(accounts[i], 1)
+		r.accountsInTime[i] /= max(accounts[i], 1)
 	}
 	return r
 }
@@ -567,6 +610,6 @@
 		}
 		return to
 	}
-	r.kinds, r.accounts = add(r.kinds, o.kinds), add(r.accounts, o.accounts)
+	r.kinds, r.accounts, r.accountsInTime = add(r.kinds, o.kinds), add(r.accounts, o.accounts), add(r.accountsInTime, o.accountsInTime)
 	return r
 }
