--- a/decide/intake/limits.go
+++ b/decide/intake/limits.go
@@ -75,10 +75,14 @@
 	// and connections that the daemon opens to others.
 	reservedFiles   = 200
 	reservedControl = 80
-	// readyConnections, controlConnections and metricsConnections are those of the addresses that callers don't need.
+	// readyConnections, controlConnections and metricsConnections are the most of the addresses that callers don't need,
+	// and the fractions their shares of the descriptors on small instances.
 	readyConnections   = 64
 	controlConnections = 128
 	metricsConnections = 32
+	readyFraction      = 1.0 / 16
+	controlFraction    = 1.0 / 8
+	metricsFraction    = 1.0 / 16
 	// callerFraction of the other descriptors is for callers, and the rest for endpoints: each request uses one of
 	// either, and some connections to endpoints are idle.
 	callerFraction = 0.45
@@ -136,13 +140,14 @@
 
 func derive(instance Instance, overrides Overrides) Limits {
 	memory := float64(instance.MemoryBytes)
-	shared := sharedDescriptors(instance.Descriptors)
+	connections, shared := divide(instance.Descriptors)
 	callers := min(int(callerFraction*float64(shared)), int(connectionFraction*memory/ConnectionBytes))
 	if overrides.Connections > 0 {
 		callers = min(callers, overrides.Connections)
 	}
+	connections[Callers] = callers
 	l := Limits{
-		Connections:         [classCount]int{Callers: callers, Ready: readyConnections, Control: controlConnections, Metrics: metricsConnections},
+		Connections:         connections,
 		EndpointConnections: shared - callers,
 		HeadBytes:           int64(headFraction * memory),
 		ResponseBytes:       int64(responseFraction * memory),
@@ -200,21 +205,24 @@
 	return nil
 }
 
-// sharedDescriptors returns the descriptors that callers and endpoints share.
-func sharedDescriptors(all int) int {
-	return all - reservedFiles - reservedControl - readyConnections - controlConnections - metricsConnections
+// divide returns the connections of the addresses that callers don't need, and the descriptors that callers and
+// endpoints share.
+func divide(descriptors int) (connections [classCount]int, shared int) {
+	shared = descriptors - reservedFiles - reservedControl
+	part := func(fraction float64, most int) int { return min(int(fraction*float64(shared)), most) }
+	connections[Ready] = part(readyFraction, readyConnections)
+	connections[Control] = part(controlFraction, controlConnections)
+	connections[Metrics] = part(metricsFraction, metricsConnections)
+	return connections, shared - connections[Ready] - connections[Control] - connections[Metrics]
 }
 
-// LeastConnections returns the smallest number of callers' connections.
-func LeastConnections() int { return minConnections }
-
 // LeastDescriptors returns the smallest number of descriptors with room for minConnections callers.
 func LeastDescriptors() int {
-	least := minConnections
-	for int(callerFraction*float64(sharedDescriptors(least))) < minConnections {
-		least++
+	for least := reservedFiles; ; least++ {
+		if _, shared := divide(least); int(callerFraction*float64(shared)) >= minConnections {
+			return least
+		}
 	}
-	return least
 }
 
 // LeastMemory returns the smallest memory in bytes, in whole MB, with room for a single request and minConnections callers.
