relay: bound what callers hold, and answer every request that was read at a stop

Cause: callers' connections, the fields of heads and bodies in progress were unbounded, so that bodies of legal size exceeded the memory of an instance; at a planned stop, the server dropped requests that it had read behind another one. Change: the daemon's four addresses are served through entryd/gate with limits derived from limits.memory_mb, limits.max_fds and limits.link_mbps; intake.* replaces single ones. Bodies are held in pieces and sent with one system call without a copy. max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration are enforced. The time limit of a request counts from its first byte, and a request whose caller has left is dropped before it is sent. Connections to endpoints are bounded. The Go runtime gets a memory limit; entryd platform -check prints the limits.

--- a/decide/intake/intake.go
+++ b/decide/intake/intake.go
@@ -34,6 +34,10 @@
 
 	// Account is all that a daemon holds for callers.
 	Account struct {
+		// BeforeShedding is called before connections are chosen to be shed, to bring their progress up to date; it
+		// may be nil.
+		BeforeShedding func(now time.Time)
+
 		limits      Limits
 		connections [classCount]int
 		used        [loadCount]int64
@@ -157,6 +161,7 @@
 func (a *Account) Open(class Class, address string, now time.Time) (*Holder, Verdict) {
 	verdict := Verdict{Admitted: true}
 	if a.connections[class] >= a.limits.Connections[class] {
+		a.refresh(now)
 		victim, reason := a.connectionToShed(class, address, now)
 		if victim == nil {
 			return nil, Verdict{Reason: TooManyConnections}
@@ -171,6 +176,12 @@
 	return h, verdict
 }
 
+func (a *Account) refresh(now time.Time) {
+	if a.BeforeShedding != nil {
+		a.BeforeShedding(now)
+	}
+}
+
 // connectionToShed returns the connection whose end makes room for another one.
 func (a *Account) connectionToShed(class Class, address string, now time.Time) (*Holder, Reason) {
 	if h := a.queues[class][Idle].first; h != nil {
@@ -233,6 +244,7 @@
 		a.set(h, kind, amount)
 		return Verdict{Admitted: true}
 	}
+	a.refresh(now)
 	victims := a.loadToShed(h, kind, amount, missing, limit, now)
 	if victims == nil {
 		return Verdict{Reason: reason}
--- a/decide/intake/limits.go
+++ b/decide/intake/limits.go
@@ -12,6 +12,8 @@
 	Instance struct {
 		MemoryBytes int64
 		Descriptors int
+		// LinkMbps is the bandwidth of the network in Mbit/s.
+		LinkMbps float64
 	}
 
 	// Limits bound what a daemon holds for callers.
@@ -66,6 +68,10 @@
 	// ConnectionBytes is the memory of an open connection without a request: two buffers of 4 KB in net/http, one
 	// in the gate, and the stacks of its goroutines.
 	ConnectionBytes = 24 << 10
+	// ProgressBytes must arrive within the stall time for a body to make progress if room is short.
+	ProgressBytes = 16 << 10
+	// LeastConnections is the smallest number of callers' connections.
+	LeastConnections = 16
 
 	mega = 1_000_000
 	// baseBytes is the memory of a daemon without callers: 58 MB at most were measured at 299 instances, of which
@@ -99,11 +105,13 @@
 	socketBuffer       = 64 << 10
 	roomyFraction      = 0.5
 	minCrowdedBuffer   = 4 << 10
-	minConnections     = 16
 	defaultStallTime   = 500 * time.Millisecond
 	defaultReadTimeout = 5 * time.Second
 	// defaultWriteTimeout is longer than a caller's pause of a few seconds.
 	defaultWriteTimeout = 5 * time.Second
+	// stallShares times its share of the link's time is what a body may take for ProgressBytes.
+	stallShares             = 4
+	bytesPerSecondAtOneMbps = 125_000
 	// minFieldBytes is the size of the shortest header field with its end of line.
 	minFieldBytes = 4
 )
@@ -170,6 +178,12 @@
 	l.BodyBytes = int64(bodyFraction * float64(rest))
 	// What the kernel holds is not the runtime's.
 	l.SoftMemoryBytes = instance.MemoryBytes - sockets
+	if instance.LinkMbps > 0 {
+		// Bodies share the link, so that each arrives at a fraction of its rate.
+		bodies := float64(l.BodyBytes) / LargestBodyBytes
+		seconds := stallShares * ProgressBytes * bodies / (instance.LinkMbps * bytesPerSecondAtOneMbps)
+		l.StallTime = max(l.StallTime, time.Duration(seconds*float64(time.Second)))
+	}
 	return overrides.apply(l)
 }
 
@@ -199,8 +213,8 @@
 	if o.BodyBytes > 0 && o.BodyBytes < LargestBodyBytes {
 		return eris.Wrapf(ErrLimits, "%d bytes for bodies, at least %d", o.BodyBytes, LargestBodyBytes)
 	}
-	if o.Connections > 0 && o.Connections < minConnections {
-		return eris.Wrapf(ErrLimits, "%d connections, at least %d", o.Connections, minConnections)
+	if o.Connections > 0 && o.Connections < LeastConnections {
+		return eris.Wrapf(ErrLimits, "%d connections, at least %d", o.Connections, LeastConnections)
 	}
 	return nil
 }
@@ -216,20 +230,20 @@
 	return connections, shared - connections[Ready] - connections[Control] - connections[Metrics]
 }
 
-// LeastDescriptors returns the smallest number of descriptors with room for minConnections callers.
+// LeastDescriptors returns the smallest number of descriptors with room for LeastConnections callers.
 func LeastDescriptors() int {
 	for least := reservedFiles; ; least++ {
-		if _, shared := divide(least); int(callerFraction*float64(shared)) >= minConnections {
+		if _, shared := divide(least); int(callerFraction*float64(shared)) >= LeastConnections {
 			return least
 		}
 	}
 }
 
-// LeastMemory returns the smallest memory in bytes, in whole MB, with room for a single request and minConnections callers.
+// LeastMemory returns the smallest memory in bytes, in whole MB, with room for a single request and LeastConnections callers.
 func LeastMemory() int64 {
 	for memory := int64(baseBytes); ; memory += mega {
 		l := derive(Instance{MemoryBytes: memory, Descriptors: 1 << 20}, Overrides{})
-		if l.BodyBytes >= LargestBodyBytes && l.HeadBytes >= LargestHeadCost(LargestHeadBytes) && l.Connections[Callers] >= minConnections {
+		if l.BodyBytes >= LargestBodyBytes && l.HeadBytes >= LargestHeadCost(LargestHeadBytes) && l.Connections[Callers] >= LeastConnections {
 			return memory
 		}
 	}
--- a/domain/setup/setup.go
+++ b/domain/setup/setup.go
@@ -104,8 +104,12 @@
 
 	// Limits bounds the requests of callers.
 	Limits struct {
-		// MaxBodyBytes is the maximum size of a request body in bytes.
-		MaxBodyBytes int64
+		// MaxBodyBytes is the maximum size of a request body in bytes, MaxHeaderBytes that of its header; 0 if not set.
+		MaxBodyBytes   int64
+		MaxHeaderBytes int
+		// HeaderTimeout limits the time for a request's header, IdleTimeout that of a connection without a request;
+		// 0 if not set.
+		HeaderTimeout, IdleTimeout time.Duration
 	}
 
 	// Config is one version of the configuration.
--- a/entryd/gate/body.go
+++ b/entryd/gate/body.go
@@ -59,8 +59,6 @@
 const (
 	// pieceBytes is the largest piece of a body.
 	pieceBytes = 64 << 10
-	// progressBytes must arrive within the stall time for a body to make progress if room is short: 32 KB/s.
-	progressBytes = 16 << 10
 )
 
 var pieces = sync.Pool{New: func() any { b := make([]byte, pieceBytes); return &b }}
@@ -123,7 +121,7 @@
 // reserveBody asks for room for a body of the given size.
 func (c *Conn) reserveBody(size int64) error {
 	now := time.Now()
-	verdict := c.gate.reserve(now, func() intake.Verdict {
+	verdict := c.gate.reserve(func() intake.Verdict {
 		verdict := c.gate.account.Body(c.holder, size, now)
 		if verdict.Admitted && c.phase == bodyPhase && c.body.reserved == 0 {
 			c.gate.account.Reading(c.holder, now)
@@ -159,7 +157,7 @@
 	}
 	n, err := c.nextBodyBytes(p)
 	c.body.read += int64(n)
-	if c.body.read-c.body.marked >= progressBytes {
+	if c.body.read-c.body.marked >= intake.ProgressBytes {
 		c.body.marked = c.body.read
 		c.markProgress(now)
 	}
--- a/entryd/gate/conn.go
+++ b/entryd/gate/conn.go
@@ -98,6 +98,8 @@
 	// lingerTime is how long the rest of a refused body is read after the response, so that the caller reads the
 	// response before the connection is reset.
 	lingerTime = 400 * time.Millisecond
+	// abortPollInterval is the pause between two looks at a connection that has no socket, as in tests.
+	abortPollInterval = 5 * time.Millisecond
 	// retryAfter is the time in Retry-After of the gate's own refusals, in seconds.
 	retryAfter = "0.500"
 	// tcpCloseWait and tcpClose are states of a connection that the caller has closed or reset.
@@ -189,7 +191,7 @@
 // HoldResponse asks for room for a response that is buffered. It sets the size, so 0 releases it.
 func (c *Conn) HoldResponse(size int64) bool {
 	now := time.Now()
-	verdict := c.gate.reserve(now, func() intake.Verdict { return c.gate.account.Response(c.holder, size, now) })
+	verdict := c.gate.reserve(func() intake.Verdict { return c.gate.account.Response(c.holder, size, now) })
 	if !verdict.Admitted {
 		c.gate.note(string(verdict.Reason), "Bytes", size)
 	}
@@ -226,7 +228,11 @@
 // awaitLeft returns an error once the caller has left or the read was aborted. It consumes nothing.
 func (c *Conn) awaitLeft() error {
 	if c.raw == nil {
-		return io.EOF
+		// Without a socket, a close shows with the next read or write only.
+		for !c.aborted.Load() && !c.closed.Load() {
+			time.Sleep(abortPollInterval)
+		}
+		return os.ErrDeadlineExceeded
 	}
 	for {
 		err := c.raw.Read(c.waitLeft)
@@ -335,7 +341,7 @@
 	if c.end == size {
 		size = min(2*size, limit)
 	}
-	verdict := c.gate.reserve(now, func() intake.Verdict {
+	verdict := c.gate.reserve(func() intake.Verdict {
 		c.gate.account.Reading(c.holder, now)
 		if size == bufferBytes {
 			return intake.Verdict{Admitted: true}
@@ -359,7 +365,7 @@
 func (c *Conn) admitHead(length int) error {
 	now := time.Now()
 	cost := intake.HeadCost(int64(length), c.head.fields)
-	verdict := c.gate.reserve(now, func() intake.Verdict {
+	verdict := c.gate.reserve(func() intake.Verdict {
 		verdict := c.gate.account.Head(c.holder, cost, now)
 		if verdict.Admitted {
 			c.gate.account.Serving(c.holder, now)
--- a/entryd/gate/gate.go
+++ b/entryd/gate/gate.go
@@ -120,6 +120,7 @@
 	g := &Gate{
 		options: options, account: intake.New(options.Limits), conns: map[*Conn]struct{}{}, notes: map[string]*note{},
 	}
+	g.account.BeforeShedding = g.sweep
 	g.SetTimeouts(Timeouts{})
 	return g
 }
@@ -222,9 +223,6 @@
 	address := addressOf(c)
 	g.mutex.Lock()
 	holder, verdict := g.account.Open(class, address, now)
-	if (!verdict.Admitted || len(verdict.Shed) > 0) && g.sweep(now) && !verdict.Admitted {
-		holder, verdict = g.account.Open(class, address, now)
-	}
 	crowded := false
 	if verdict.Admitted {
 		holder.Tag, conn.holder = conn, holder
@@ -252,13 +250,10 @@
 	return c.RemoteAddr().String()
 }
 
-// reserve asks the account for room, and once more after a look at the progress of all connections.
-func (g *Gate) reserve(now time.Time, ask func() intake.Verdict) intake.Verdict {
+// reserve asks the account for room.
+func (g *Gate) reserve(ask func() intake.Verdict) intake.Verdict {
 	g.mutex.Lock()
 	verdict := ask()
-	if !verdict.Admitted && g.sweep(now) {
-		verdict = ask()
-	}
 	g.mutex.Unlock()
 	g.end(verdict.Shed)
 	return verdict
@@ -272,16 +267,15 @@
 }
 
 // sweep tells the account which connections make progress. Connections record that themselves, since room is
-// rarely short. It reports false if the last sweep is recent. The mutex must be locked.
-func (g *Gate) sweep(now time.Time) bool {
+// rarely short. It does nothing if the last sweep is recent. The mutex must be locked.
+func (g *Gate) sweep(now time.Time) {
 	if now.Sub(g.sweptAt) < sweepInterval {
-		return false
+		return
 	}
 	g.sweptAt = now
 	for c := range g.conns {
 		c.reportProgress(g.account)
 	}
-	return true
 }
 
 // end ends the connections that were shed.
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-logr/logr"
 	"github.com/google/subcommands"
 
+	"lentilstage.dev/decide/intake"
 	"lentilstage.dev/entryd/relay"
 	"lentilstage.dev/platform/adapt"
 )
@@ -47,10 +49,16 @@
 		fmt.Fprintln(os.Stderr, "entryd:", err)
 		return subcommands.ExitUsageError
 	}
+	limits, err := intake.Derive(file.Settings.Instance, file.Settings.Intake)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "entryd:", err)
+		return subcommands.ExitUsageError
+	}
 	if p.check {
-		fmt.Println("ok")
+		fmt.Printf("ok\n%s\n", limits)
 		return subcommands.ExitSuccess
 	}
+	debug.SetMemoryLimit(limits.SoftMemoryBytes)
 	logger, flush := relay.NewLogger(os.Stdout, p.verbose)
 	defer flush()
 	daemon, err := relay.New(file.Settings, adapt.NewStore(file.Store), adapt.NewCloud(file.Cloud), adapt.NewCodec(),
--- a/entryd/relay/adapter.go
+++ b/entryd/relay/adapter.go
@@ -11,6 +11,7 @@
 	"lentilstage.dev/decide/shift"
 	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/domain/value"
+	"lentilstage.dev/entryd/gate"
 )
 
 type (
@@ -97,7 +98,7 @@
 		AnswerHint int
 		// Header holds the headers that are forwarded unchanged.
 		Header http.Header
-		Body   []byte
+		Body   *gate.Body
 	}
 
 	// Rollout is an operators' order to move a service to a version.
@@ -164,6 +165,8 @@
 		RolloutStatus func(r Rollout, v shift.Status) (key string, value []byte, err error)
 		// Endpoint decodes a record of Endpoints.
 		Endpoint func(r Record, now time.Time) (setup.Endpoint, error)
+		// CallIDHeader is the header with the request's identifier, which refusals repeat.
+		CallIDHeader string
 	}
 )
 
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -57,6 +58,9 @@
 	maxInlineBytes = 16 << 10
 	// maxBufferedBytes is the largest response that is buffered before it is forwarded.
 	maxBufferedBytes = 1 << 20
+	// firstBufferBytes is the first room for a response of unknown length, which grows by bufferGrowth.
+	firstBufferBytes = 32 << 10
+	bufferGrowth     = 4
 	// maxHeadBytes limits the head of a response, maxStaleBytes the body of a response to an earlier
 	// request: an endpoint in trouble may send bytes without end.
 	maxHeadBytes  = 64 << 10
@@ -95,10 +99,18 @@
 func (x *exchange) attempt(ctx context.Context, selected selection, sends int) outcome {
 	endpoint, picked := selected.endpoint, selected.picked
 	a := &attempt{x: x, ctx: ctx, selection: selected}
+	if x.callerLeft() {
+		return callerGone
+	}
 	c, reused, err := x.connect(ctx, endpoint.Address)
 	if err != nil {
 		return a.dialFailed(err)
 	}
+	if !reused && x.callerLeft() {
+		// It has left while this request was being connected.
+		_ = c.Close()
+		return callerGone
+	}
 	if reason, withdrawn := x.daemon.tables.withdrawn(endpoint, x.daemon.clock.now()); withdrawn {
 		// It was taken out of use while this request was being connected.
 		_ = c.Close()
@@ -133,11 +145,21 @@
 	return a.recordOutcome(result)
 }
 
+// callerLeft reports whether the caller has closed its connection. If processor time is short, the goroutine that
+// waits for that may not have noticed yet.
+func (x *exchange) callerLeft() bool {
+	if x.conn == nil || !x.conn.Left() {
+		return false
+	}
+	x.daemon.meters.count("Callers.LeftBeforeSend")
+	return true
+}
+
 // connect returns a connection to an endpoint and reports whether it has carried other requests.
 func (x *exchange) connect(ctx context.Context, address string) (*endpointConn, bool, error) {
 	if x.call.ID == "" {
 		// Nothing would tell the response from a copy of an earlier one.
-		c, err := dial(ctx, address)
+		c, err := x.daemon.pool.dial(ctx, address)
 		return c, false, err
 	}
 	if x.mayRepeat() {
@@ -391,25 +413,29 @@
 		LastEventID: x.lastEvent, Priority: x.enginePriority(), Source: a.placed.source,
 	})
 	var head bytes.Buffer
-	head.Grow(1024 + len(x.call.Body))
+	head.Grow(1024)
 	head.WriteString(x.call.Method + " " + x.call.Target + " HTTP/1.1\r\nHost: " + x.call.Host + "\r\n")
-	if len(x.call.Body) > 0 || x.call.Method != http.MethodGet {
-		header.Set("Content-Length", strconv.Itoa(len(x.call.Body)))
+	body := x.call.Body
+	if body.Size() > 0 || x.call.Method != http.MethodGet {
+		header.Set("Content-Length", strconv.Itoa(body.Size()))
 	}
 	if err := header.Write(&head); err != nil {
 		return false, err
 	}
 	head.WriteString("\r\n")
-	head.Write(x.call.Body)
-	message := head.Bytes()
-	if len(message) <= maxInlineBytes {
-		n, err := a.endpointConn.Write(message)
-		return n == len(message), err
+	// Writes all pieces with one system call, without a copy of them.
+	message := net.Buffers(body.AppendTo([][]byte{head.Bytes()}))
+	if size := head.Len() + body.Size(); size <= maxInlineBytes {
+		n, err := message.WriteTo(a.endpointConn.Conn)
+		return n == int64(size), err
 	}
 	a.writeResult = make(chan error, 1)
-	writeResult := a.writeResult
+	writeResult, conn := a.writeResult, a.endpointConn.Conn
+	// The attempt may end before its last byte was written.
+	body.Retain()
 	go func() {
-		_, err := a.endpointConn.Write(message)
+		defer body.Release()
+		_, err := message.WriteTo(conn)
 		writeResult <- err
 	}()
 	return true, nil
@@ -484,7 +510,7 @@
 	a.began = true
 	x.daemon.tables.markPromptRead(a.placed)
 	x.countUsage()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
+	body, whole, err := x.bufferResponse(response)
 	if err != nil {
 		return a.classifyError(err), err
 	}
@@ -494,10 +520,13 @@
 	}
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if buffered.status >= http.StatusInternalServerError {
+		if !whole {
+			return failed, errTooManyBytes
+		}
 		x.failedResponse = buffered
 		return failed, nil
 	}
-	if len(body) > maxBufferedBytes {
+	if !whole {
 		return a.forwardLarge(buffered, response.Body)
 	}
 	now := x.daemon.clock.now()
@@ -510,6 +539,40 @@
 	return delivered, nil
 }
 
+// bufferResponse reads a response of at most maxBufferedBytes that there is room for. whole reports whether it has
+// read all of it.
+func (x *exchange) bufferResponse(response *http.Response) (body []byte, whole bool, err error) {
+	size := min(response.ContentLength, int64(maxBufferedBytes))
+	if size < 0 {
+		size = firstBufferBytes
+	}
+	for {
+		if x.conn != nil && size > 0 && !x.conn.HoldResponse(size) {
+			return body, false, nil
+		}
+		larger := make([]byte, size)
+		copy(larger, body)
+		body = larger[:len(body)]
+		for int64(len(body)) < size {
+			n, err := response.Body.Read(larger[len(body):])
+			body = larger[:len(body)+n]
+			if errors.Is(err, io.EOF) {
+				return body, true, nil
+			}
+			if err != nil {
+				return body, false, err
+			}
+		}
+		if size == response.ContentLength {
+			return body, true, nil
+		}
+		if size == maxBufferedBytes {
+			return body, false, nil
+		}
+		size = min(bufferGrowth*size, maxBufferedBytes)
+	}
+}
+
 // forwardLarge forwards a response while it is being read. head holds the part that was read already. No
 // other attempt may follow once it has started.
 func (a *attempt) forwardLarge(head *bufferedResponse, rest io.Reader) (outcome, error) {
--- a/entryd/relay/drain_test.go
+++ b/entryd/relay/drain_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"lentilstage.dev/decide/intake"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -50,8 +51,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: http.HandlerFunc(d.serveCaller), ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(slowListener{listener}) }()
+	server := &http.Server{Handler: http.HandlerFunc(d.serveCaller)}
+	d.gate.Configure(server, intake.Callers)
+	go func() { _ = server.Serve(d.gate.Wrap(slowListener{listener}, intake.Callers)) }()
 	done := make(chan error, 1)
 	go func() {
 		response, err := http.Get("http://" + listener.Addr().String())
@@ -63,7 +65,7 @@
 	}()
 	<-received
 	time.AfterFunc(drainIdleTime+drainIdleTime/10, func() { close(answer) })
-	d.drain([]*http.Server{server})
+	d.drain()
 	_ = server.Close()
 	if err := <-done; err != nil {
 		t.Errorf("no complete response: %v", err)
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -13,12 +12,15 @@
 	"lentilstage.dev/decide/retry"
 	"lentilstage.dev/decide/suspect"
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/entryd/gate"
 )
 
 type (
 	// exchange is one request of a caller with its attempts.
 	exchange struct {
-		daemon  *Daemon
+		daemon *Daemon
+		// conn is the caller's connection; nil for a server without a gate.
+		conn    *gate.Conn
 		writer  http.ResponseWriter
 		request *http.Request
 
@@ -126,8 +128,11 @@
 			d.meters.observe("Answer.Milliseconds", d.clock.now().Sub(x.arrived))
 			return
 		case callerGone:
-			x.log("Caller left.", "Endpoint", next.endpoint.ID, "Sends", sends+1)
+			x.log("Caller left.", "Endpoint", next.endpoint.ID, "Sends", sends+1, "MayHaveRun", x.mayHaveRun)
 			d.meters.count("Callers.Left")
+			if !x.mayHaveRun && x.cost > 0 {
+				d.tables.returnAllowance(x.account.Name, x.cost)
+			}
 			panic(http.ErrAbortHandler)
 		case deadlinePassed:
 			if d.ended.Err() != nil {
@@ -375,7 +380,7 @@
 	if !x.request.ProtoAtLeast(1, 1) {
 		// Without chunks, the end of the connection is that of the response. Only a reset is an error.
 		if conn, _, err := http.NewResponseController(x.writer).Hijack(); err == nil {
-			if tcp, ok := conn.(*net.TCPConn); ok {
+			if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 				_ = tcp.SetLinger(0)
 			}
 			_ = conn.Close()
--- a/entryd/relay/meters.go
+++ b/entryd/relay/meters.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"lentilstage.dev/decide/intake"
 )
 
 // meters holds a daemon's counters, gauges and latency histograms. Histograms are in milliseconds.
@@ -52,7 +54,15 @@
 // serveMetrics writes all metrics as text, a name and a value per line.
 func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	d.meters.setGauge("Requests.Open", d.openRequests.Load())
-	d.meters.setGauge("Connections.Callers", d.connections.Load())
+	held := d.gate.Held()
+	d.meters.setGauge("Connections.Callers", int64(held.Connections[intake.Callers]))
+	d.meters.setGauge("Connections.Ready", int64(held.Connections[intake.Ready]))
+	d.meters.setGauge("Connections.Control", int64(held.Connections[intake.Control]))
+	d.meters.setGauge("Connections.Metrics", int64(held.Connections[intake.Metrics]))
+	d.meters.setGauge("Connections.Endpoints", int64(d.pool.count()))
+	d.meters.setGauge("Held.HeadBytes", held.HeadBytes)
+	d.meters.setGauge("Held.BodyBytes", held.BodyBytes)
+	d.meters.setGauge("Held.ResponseBytes", held.ResponseBytes)
 	d.meters.setGauge("Log.Dropped", droppedLines.Load())
 	var text strings.Builder
 	d.meters.registry.Each(func(name string, value any) {
--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -20,6 +21,10 @@
 		mutex  sync.Mutex
 		idle   map[string][]*endpointConn
 		closed bool
+		// limit is the number of connections, idle and in use, from which idle ones are closed; 0 for none.
+		limit int
+		// open is the number of connections, including those being dialled.
+		open atomic.Int64
 	}
 
 	// endpointConn is a connection to an endpoint.
@@ -32,6 +37,8 @@
 		// usableUntil is when the endpoint may close the idle connection, idleAt when it became idle.
 		usableUntil time.Time
 		idleAt      time.Time
+		pool        *pool
+		closed      atomic.Bool
 	}
 )
 
@@ -61,7 +68,10 @@
 	errTooManyBytes = errors.New("response exceeds its limit")
 )
 
-func newPool() *pool { return &pool{idle: map[string][]*endpointConn{}} }
+func newPool(limit int) *pool { return &pool{idle: map[string][]*endpointConn{}, limit: limit} }
+
+// count returns the number of connections.
+func (p *pool) count() int { return int(p.open.Load()) }
 
 // get returns a connection that has been idle for less than maxIdleTime, or a new one. The second
 // result reports whether it was reused. An error means that nothing was sent.
@@ -77,18 +87,38 @@
 		}
 		_ = c.Close()
 	}
-	c, err := dial(ctx, address)
+	c, err := p.dial(ctx, address)
 	return c, false, err
 }
 
-// dial opens a connection. An error means that nothing was sent.
-func dial(ctx context.Context, address string) (*endpointConn, error) {
+// dial opens a connection. If there are too many, it closes an idle one before. An error means that nothing was sent.
+func (p *pool) dial(ctx context.Context, address string) (*endpointConn, error) {
+	if open := p.open.Add(1); p.limit > 0 && int(open) > p.limit {
+		p.closeOne()
+	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, err
 	}
-	return newEndpointConn(conn, address), nil
+	c := newEndpointConn(conn, address)
+	c.pool = p
+	return c, nil
+}
+
+// closeOne closes an idle connection, if there is one.
+func (p *pool) closeOne() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for address, idle := range p.idle {
+		if len(idle) == 0 {
+			continue
+		}
+		_ = idle[0].Close()
+		p.idle[address] = idle[1:]
+		return
+	}
 }
 
 func (p *pool) pop(address string) *endpointConn {
@@ -113,7 +143,7 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.closed || len(p.idle[c.address]) >= maxIdlePerEndpoint || !now.Before(c.usableUntil) {
+	if p.closed || p.limit > 0 && p.count() > p.limit || len(p.idle[c.address]) >= maxIdlePerEndpoint || !now.Before(c.usableUntil) {
 		_ = c.Close()
 		return
 	}
@@ -148,6 +178,14 @@
 	return c
 }
 
+// Close closes the connection.
+func (c *endpointConn) Close() error {
+	if c.pool != nil && !c.closed.Swap(true) {
+		c.pool.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
 // limitReads sets how many more bytes may be read from the network; unlimited removes the limit.
 func (c *endpointConn) limitReads(count int) { c.readable = count }
 
--- a/entryd/relay/quarantine.go
+++ b/entryd/relay/quarantine.go
@@ -20,7 +20,9 @@
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(c.Body)
+	for _, piece := range c.Body.AppendTo(nil) {
+		_, _ = h.Write(piece)
+	}
 	return suspect.Key(h.Sum64())
 }
 
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -32,7 +32,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -40,7 +39,10 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"lentilstage.dev/decide/intake"
 	"lentilstage.dev/domain/ident"
+	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/entryd/gate"
 )
 
 type (
@@ -59,6 +61,7 @@
 
 		tables    *tables
 		pool      *pool
+		gate      *gate.Gate
 		gossip    *gossip
 		freshness *freshness
 		members   *members
@@ -86,9 +89,9 @@
 		operatorsUnreachable atomic.Bool
 		// openRequests is the number of requests being served.
 		openRequests atomic.Int64
-		// connections is the number of callers' open connections.
-		connections atomic.Int64
-		lastRequest atomic.Int64
+		lastRequest  atomic.Int64
+		// limitsOf is the configuration whose limits the gate enforces.
+		limitsOf atomic.Pointer[setup.Config]
 	}
 
 	// Option configures a new daemon.
@@ -112,11 +115,6 @@
 	// acceptFraction of the time until the stop is the longest time for which requests are accepted, so that a short
 	// grace period leaves the last of them time to be answered.
 	acceptFraction = 0.5
-	// headerTimeout limits the time for a caller's header, idleTimeout that of a connection without a
-	// request.
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 5 * time.Minute
-	maxHeaderBytes = 64 << 10
 )
 
 // WithLogger sets the daemon's logger.
@@ -145,7 +143,14 @@
 	d.startedAt = d.clock.now()
 	d.ended, d.end = context.WithCancel(context.Background())
 	d.tables = newTables(settings, d.incarnation)
-	d.pool = newPool()
+	limits, err := intake.Derive(settings.Instance, settings.Intake)
+	if err != nil {
+		return nil, err
+	}
+	d.gate = gate.New(gate.Options{
+		Limits: limits, Logger: d.logger.WithName("gate"), Count: d.meters.count, EchoHeader: codec.CallIDHeader,
+	})
+	d.pool = newPool(limits.EndpointConnections)
 	d.budget = newBudget(settings.Limits)
 	d.snapshots = make(chan struct{}, maxSnapshots)
 	d.freshness = newFreshness(d.tables.rosterHash)
@@ -174,9 +179,10 @@
 	group.Go(func() error { return d.syncFromPeers(running) })
 	d.logger.WithName("daemon").Info("Started.", "Name", d.settings.Name, "Incarnation", d.incarnation,
 		"Address", d.settings.Listen, "Bootstrap", d.settings.Bootstrap)
+	d.logLimits()
 	select {
 	case <-ctx.Done():
-		d.drain(servers)
+		d.drain()
 	case <-running.Done():
 	}
 	stop()
@@ -190,18 +196,22 @@
 
 // listen opens the daemon's addresses and serves them.
 func (d *Daemon) listen(ctx context.Context, group *errgroup.Group) ([]*http.Server, error) {
-	handlers := map[string]http.Handler{
-		d.settings.Listen:        http.HandlerFunc(d.serveCaller),
-		d.settings.ReadyListen:   http.HandlerFunc(d.serveReady),
-		d.settings.ControlListen: http.HandlerFunc(d.serveControl),
-		d.settings.MetricsListen: http.HandlerFunc(d.serveMetrics),
+	type entry struct {
+		handler http.HandlerFunc
+		class   intake.Class
+	}
+	entries := map[string]entry{
+		d.settings.Listen:        {d.serveCaller, intake.Callers},
+		d.settings.ReadyListen:   {d.serveReady, intake.Ready},
+		d.settings.ControlListen: {d.serveControl, intake.Control},
+		d.settings.MetricsListen: {d.serveMetrics, intake.Metrics},
 	}
 	var servers []*http.Server
-	for address, handler := range handlers {
+	for address, e := range entries {
 		if address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", address)
+		listener, err := d.gate.Listen(ctx, address, e.class)
 		if err != nil {
 			for _, s := range servers {
 				_ = s.Close()
@@ -209,10 +219,9 @@
 			return nil, eris.Wrapf(err, "listen at %s", address)
 		}
 		server := &http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ErrorLog: errorLog(d.logger), ConnState: d.countConnections(address == d.settings.Listen),
-			BaseContext: func(net.Listener) context.Context { return ctx },
+			Handler: e.handler, ErrorLog: errorLog(d.logger), BaseContext: func(net.Listener) context.Context { return ctx },
 		}
+		d.gate.Configure(server, e.class)
 		servers = append(servers, server)
 		group.Go(func() error {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -224,39 +233,48 @@
 	return servers, nil
 }
 
-// countConnections returns a hook that counts the callers' open connections.
-func (d *Daemon) countConnections(callers bool) func(net.Conn, http.ConnState) {
-	if !callers {
-		return nil
+// logLimits logs what is held for callers at most.
+func (d *Daemon) logLimits() {
+	logger := d.logger.WithName("gate")
+	logger.Info("Derived limits.", "MemoryBytes", d.settings.Instance.MemoryBytes, "Descriptors", d.settings.Instance.Descriptors,
+		"Limits", d.gate.Limits().String())
+	if d.settings.Instance.MemoryBytes == 0 || d.settings.Instance.Descriptors == 0 {
+		logger.Info("Instance not known, defaults apply.", "MemoryBytes", int64(intake.DefaultMemoryBytes), "Descriptors", intake.DefaultDescriptors)
 	}
-	return func(_ net.Conn, state http.ConnState) {
-		switch state {
-		case http.StateNew:
-			d.connections.Add(1)
-		case http.StateClosed, http.StateHijacked:
-			d.connections.Add(-1)
-		default:
-		}
+}
+
+// applyCallerLimits takes the limits for callers from the configuration in force.
+func (d *Daemon) applyCallerLimits() {
+	config := d.tables.currentConfig()
+	if config == nil || d.limitsOf.Swap(config) == config {
+		return
+	}
+	l := config.Limits
+	d.gate.SetTimeouts(gate.Timeouts{Header: l.HeaderTimeout, Idle: l.IdleTimeout, MaxHeaderBytes: l.MaxHeaderBytes})
+	d.logger.WithName("gate").Info("Limits for callers.", "Config", config.Version, "MaxHeaderBytes", l.MaxHeaderBytes,
+		"MaxBodyBytes", l.MaxBodyBytes, "HeaderTimeout", l.HeaderTimeout, "IdleTimeout", l.IdleTimeout)
+	if room := d.gate.Limits(); l.MaxBodyBytes > room.BodyBytes || intake.LargestHeadCost(int64(l.MaxHeaderBytes)) > room.HeadBytes {
+		d.logger.WithName("gate").Info("No room for the largest request.", "Config", config.Version,
+			"BodyBytes", room.BodyBytes, "HeadBytes", room.HeadBytes)
 	}
 }
 
 // drain reports not ready to the balancer, goes on serving requests, and waits until callers have
 // left or the grace period is nearly over.
-func (d *Daemon) drain(servers []*http.Server) {
+func (d *Daemon) drain() {
 	d.draining.Store(true)
+	d.gate.Drain()
 	now := d.clock.now()
 	d.lastRequest.Store(now.UnixNano())
 	deadline := now.Add(d.settings.Limits.GracePeriod - drainReserve)
 	d.stopsAt.Store(int64(deadline.Sub(d.startedAt)))
 	acceptUntil := now.Add(min(drainAcceptTime, time.Duration(acceptFraction*float64(deadline.Sub(now)))))
-	d.logger.WithName("daemon").Info("Draining.", "Open", d.openRequests.Load(), "Connections", d.connections.Load(), "Until", deadline)
+	d.logger.WithName("daemon").Info("Draining.", "Open", d.openRequests.Load(), "Connections", d.gate.Held().Connections[intake.Callers], "Until", deadline)
 	d.leader.resign()
 	for d.clock.now().Before(deadline) {
 		if !d.closing.Load() && d.clock.now().After(acceptUntil) {
 			d.closing.Store(true)
-			for _, s := range servers {
-				s.SetKeepAlivesEnabled(false)
-			}
+			d.gate.CloseIdle()
 		}
 		quietSince := time.Unix(0, d.lastRequest.Load())
 		if d.openRequests.Load() == 0 && d.clock.now().Sub(quietSince) > drainIdleTime {
@@ -268,7 +286,11 @@
 		d.logger.WithName("daemon").Info("Ending requests.", "Open", open)
 	}
 	d.end()
-	shutDown(servers)
+	// A request is no longer counted as open once its handler has returned, but its response is flushed after that, and
+	// requests may follow it on its connection.
+	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	d.gate.Wait(ctx)
 }
 
 // stopTime returns when a draining daemon ends all requests; zero if it is not draining.
@@ -279,19 +301,6 @@
 	return time.Time{}
 }
 
-// shutDown waits until the servers have sent their responses, at most flushTime: a request is no longer counted
-// as open once its handler has returned, but its response is flushed after that.
-func shutDown(servers []*http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
-	defer cancel()
-	var running sync.WaitGroup
-	for _, s := range servers {
-		// An error means that the time is over.
-		running.Go(func() { _ = s.Shutdown(ctx) })
-	}
-	running.Wait()
-}
-
 // age returns the time since this process's start.
 func (d *Daemon) age(now time.Time) time.Duration { return now.Sub(d.startedAt) }
 
@@ -302,6 +311,7 @@
 		d.logPoison()
 		d.logRollouts()
 		d.logSpeeds()
+		d.applyCallerLimits()
 		d.budget.resize(d.members.count())
 	})
 }
--- a/entryd/relay/server.go
+++ b/entryd/relay/server.go
@@ -2,13 +2,12 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/entryd/gate"
 )
 
 const (
@@ -17,6 +16,8 @@
 	// noConfigRetryDelay is the delay after which a caller may retry at a daemon without a
 	// configuration.
 	noConfigRetryDelay = 300 * time.Millisecond
+	// noRoomRetryDelay is the delay after which a caller may retry a request for whose body there was no room.
+	noRoomRetryDelay = 500 * time.Millisecond
 )
 
 // serveReady answers the balancer's health checks.
@@ -34,15 +35,18 @@
 	defer d.openRequests.Add(-1)
 	now := d.clock.now()
 	d.lastRequest.Store(now.UnixNano())
-	if d.draining.Load() {
-		w.Header().Set("Connection", "close")
+	conn := gate.FromContext(r.Context())
+	if conn != nil {
+		// The request may have waited since, for the processor or behind another one on its connection.
+		now = conn.Arrived()
 	}
 	// The endpoint's header is forwarded unchanged; the server must add nothing to it.
 	w.Header()["Date"] = nil
 	w.Header()["Content-Type"] = nil
 	d.meters.count("Requests.Received")
 	call, err := d.codec.ReadCall(r, now)
-	x := &exchange{daemon: d, writer: w, request: r, call: call, arrived: now, tried: map[string]bool{}}
+	x := &exchange{daemon: d, conn: conn, writer: w, request: r, call: call, arrived: now, tried: map[string]bool{}}
+	defer func() { x.call.Body.Release() }()
 	if err != nil {
 		x.refuse(http.StatusBadRequest, "Malformed", time.Time{}, "Error", err.Error())
 		return
@@ -78,6 +82,13 @@
 	if !x.call.Deadline.IsZero() && x.call.Deadline.Before(x.deadline) {
 		x.deadline = x.call.Deadline
 	}
+	if !d.clock.now().Before(x.deadline) {
+		x.refuse(http.StatusServiceUnavailable, "Late", time.Time{})
+		return false
+	}
+	if x.conn != nil && x.account.Name != "" && x.request.ContentLength != 0 {
+		x.conn.SetOwner(x.account.Name)
+	}
 	if !x.readBody() {
 		return false
 	}
@@ -107,23 +118,21 @@
 	if x.config.Limits.MaxBodyBytes > 0 {
 		limit = x.config.Limits.MaxBodyBytes
 	}
-	connection := http.NewResponseController(x.writer)
-	_ = connection.SetReadDeadline(time.Now().Add(x.deadline.Sub(x.daemon.clock.now())))
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
-	var tooLarge *http.MaxBytesError
+	body, read, err := gate.ReadBody(x.request, limit, time.Now().Add(x.deadline.Sub(x.daemon.clock.now())))
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.writer.Header().Set("Connection", "close")
-		x.refuse(http.StatusRequestTimeout, "BodyTooSlow", time.Time{}, "Read", len(body))
+	case errors.Is(err, gate.ErrNoRoom) || errors.Is(err, gate.ErrShed):
+		x.refuse(http.StatusServiceUnavailable, "NoBodyRoom", x.daemon.clock.now().Add(noRoomRetryDelay), "Read", read)
+		return false
+	case gate.IsTimeout(err):
+		x.refuse(http.StatusRequestTimeout, "BodyTooSlow", time.Time{}, "Read", read)
 		return false
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, gate.ErrTooLarge):
 		x.refuse(http.StatusRequestEntityTooLarge, "BodyTooLarge", time.Time{}, "Limit", limit)
 		return false
 	case err != nil:
 		x.log("Caller left.", "Reason", "BodyNotRead", "Error", err.Error())
 		panic(http.ErrAbortHandler)
 	}
-	_ = connection.SetReadDeadline(time.Time{})
 	x.call.Body = body
 	return true
 }
--- a/entryd/relay/settings.go
+++ b/entryd/relay/settings.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"lentilstage.dev/decide/intake"
 )
 
 type (
@@ -30,6 +32,9 @@
 		ReportsUsage    bool
 		OrdersEndpoints bool
 		Limits          Limits
+		// Instance is what the process may use, and Intake replaces limits that are derived from it.
+		Instance intake.Instance
+		Intake   intake.Overrides
 	}
 
 	// Limits are the platform's limits for the daemons.
@@ -80,6 +85,9 @@
 	if s.Limits.RetryRatio < 0 || s.Limits.RetryRatio > 1 {
 		problems = append(problems, "RetryRatio must be from 0 to 1")
 	}
+	if _, err := intake.Derive(s.Instance, s.Intake); err != nil {
+		problems = append(problems, err.Error())
+	}
 	if len(problems) > 0 {
 		return eris.Wrap(ErrInvalidSettings, strings.Join(problems, "; "))
 	}
