--- a/decide/intake/limits.go
+++ b/decide/intake/limits.go
@@ -33,6 +33,10 @@
 		SocketBufferBytes  int
 		RoomyConnections   int
 		CrowdedBufferBytes int
+		// RoomyEndpoints is the number of connections to endpoints with a receive buffer of SocketBufferBytes. Further
+		// ones get CrowdedEndpointBytes: what an endpoint sends waits there while the caller does not read.
+		RoomyEndpoints       int
+		CrowdedEndpointBytes int
 		// SoftMemoryBytes is the memory limit of the Go runtime.
 		SoftMemoryBytes int64
 		// StallTime is the time without progress after which a connection is shed if room is short.
@@ -102,8 +106,11 @@
 	bodyFraction = 2.0 / 3
 	// socketBuffer is a receive buffer with a window of 32 KB. Half of the sockets' memory is for connections with
 	// such a buffer: in a crowd, further ones get a smaller one, so that bytes that nobody reads stay within the memory.
-	socketBuffer       = 64 << 10
-	roomyFraction      = 0.5
+	socketBuffer         = 64 << 10
+	roomyFraction        = 0.5
+	crowdedEndpointBytes = 16 << 10
+	// programBytes is the memory of the program's file.
+	programBytes       = 8 * mega
 	minCrowdedBuffer   = 4 << 10
 	defaultStallTime   = 500 * time.Millisecond
 	defaultReadTimeout = 5 * time.Second
@@ -176,8 +183,9 @@
 	}
 	rest := instance.MemoryBytes - baseBytes - sockets - int64(callers)*ConnectionBytes - l.HeadBytes - l.ResponseBytes
 	l.BodyBytes = int64(bodyFraction * float64(rest))
-	// What the kernel holds is not the runtime's.
-	l.SoftMemoryBytes = instance.MemoryBytes - sockets
+	l.RoomyEndpoints, l.CrowdedEndpointBytes = l.RoomyConnections, crowdedEndpointBytes
+	// What the kernel holds for callers and endpoints, and the program's file, are not the runtime's.
+	l.SoftMemoryBytes = instance.MemoryBytes - 2*sockets - programBytes
 	if instance.LinkMbps > 0 {
 		// Bodies share the link, so that each arrives at a fraction of its rate.
 		bodies := float64(l.BodyBytes) / LargestBodyBytes
--- a/entryd/gate/conn.go
+++ b/entryd/gate/conn.go
@@ -39,6 +39,8 @@
 		filledFrom             int
 		filledAt, filledBefore time.Time
 		requests               int
+		// reading is set while the account knows of an incomplete head.
+		reading bool
 		// begunAt is when the first byte of the present request was read.
 		begunAt time.Time
 		body    bodyState
@@ -307,8 +309,6 @@
 				}
 			}
 			c.begin(arrived)
-		} else if c.end-c.start > 0 {
-			c.markProgress(now)
 		}
 		return nil
 	}
@@ -342,7 +342,11 @@
 		size = min(2*size, limit)
 	}
 	verdict := c.gate.reserve(func() intake.Verdict {
-		c.gate.account.Reading(c.holder, now)
+		if !c.reading {
+			// A head counts as stalled from its first byte on, or a few bytes a second would pass for progress.
+			c.reading = true
+			c.gate.account.Reading(c.holder, now)
+		}
 		if size == bufferBytes {
 			return intake.Verdict{Admitted: true}
 		}
@@ -376,7 +380,7 @@
 		c.gate.note(string(verdict.Reason), "Address", addressOf(c.Conn), "Fields", c.head.fields)
 		return c.refuse(http.StatusServiceUnavailable)
 	}
-	c.deliver, c.head = length, headScanner{}
+	c.deliver, c.head, c.reading = length, headScanner{}, false
 	c.requests++
 	return nil
 }
@@ -428,7 +432,11 @@
 	if c.end == c.start {
 		c.idle.Store(true)
 	}
-	c.gate.update(func() { c.gate.account.Idle(c.holder, c.idleSince) })
+	c.progressAt.Store(0)
+	c.gate.update(func() {
+		c.stalledWriting = false
+		c.gate.account.Idle(c.holder, c.idleSince)
+	})
 }
 
 // Write sends a part of a response. Each part that is sent extends the deadline.
--- a/entryd/gate/scan.go
+++ b/entryd/gate/scan.go
@@ -152,14 +152,18 @@
 	return 0, false
 }
 
-// headerValue returns the value of the first header with a name in a complete head.
+// headerValue returns the value of the first header with a name in a complete head; nil if it is not printable.
 func headerValue(head []byte, name string) []byte {
 	for len(head) > 0 {
 		line, rest, _ := bytes.Cut(head, []byte("\n"))
 		head = rest
 		field, value, ok := bytes.Cut(line, []byte(":"))
 		if ok && len(field) == len(name) && bytes.EqualFold(field, []byte(name)) {
-			return bytes.TrimSpace(value)
+			value = bytes.TrimSpace(value)
+			if bytes.ContainsFunc(value, func(r rune) bool { return r < ' ' || r > '~' }) {
+				return nil
+			}
+			return value
 		}
 	}
 	return nil
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -105,7 +105,7 @@
 	x.lastEvent = x.call.LastEventID
 	x.logArrival()
 	x.standing = d.tables.standing(x.demandKey(), x.waitsUntil(), x.arrived)
-	d.budget.arrived(x.service, x.arrived)
+	d.budget.arrived(x.service, d.clock.now())
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	// At the end of a stop, the request gets an answer while its connection is still open.
--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"lentilstage.dev/decide/intake"
 )
 
 type (
@@ -21,8 +23,9 @@
 		mutex  sync.Mutex
 		idle   map[string][]*endpointConn
 		closed bool
-		// limit is the number of connections, idle and in use, from which idle ones are closed; 0 for none.
-		limit int
+		// limits has the number of connections, idle and in use, above which idle ones are closed, and the sizes of
+		// their receive buffers.
+		limits intake.Limits
 		// open is the number of connections, including those being dialled.
 		open atomic.Int64
 	}
@@ -68,7 +71,9 @@
 	errTooManyBytes = errors.New("response exceeds its limit")
 )
 
-func newPool(limit int) *pool { return &pool{idle: map[string][]*endpointConn{}, limit: limit} }
+func newPool(limits intake.Limits) *pool {
+	return &pool{idle: map[string][]*endpointConn{}, limits: limits}
+}
 
 // count returns the number of connections.
 func (p *pool) count() int { return int(p.open.Load()) }
@@ -93,10 +98,20 @@
 
 // dial opens a connection. If there are too many, it closes an idle one before. An error means that nothing was sent.
 func (p *pool) dial(ctx context.Context, address string) (*endpointConn, error) {
-	if open := p.open.Add(1); p.limit > 0 && int(open) > p.limit {
+	open := int(p.open.Add(1))
+	if open > p.limits.EndpointConnections {
 		p.closeOne()
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
+	buffer := p.limits.SocketBufferBytes
+	if open > p.limits.RoomyEndpoints {
+		buffer = p.limits.CrowdedEndpointBytes
+	}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
+		// The kernel doubles the size. An error leaves its own, which may hold 6 MB that a caller does not read.
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, buffer/2)
+		})
+	}}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		p.open.Add(-1)
@@ -143,7 +158,7 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.closed || p.limit > 0 && p.count() > p.limit || len(p.idle[c.address]) >= maxIdlePerEndpoint || !now.Before(c.usableUntil) {
+	if p.closed || p.count() > p.limits.EndpointConnections || len(p.idle[c.address]) >= maxIdlePerEndpoint || !now.Before(c.usableUntil) {
 		_ = c.Close()
 		return
 	}
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -151,7 +151,7 @@
 	d.gate = gate.New(gate.Options{
 		Limits: limits, Logger: d.logger.WithName("gate"), Count: d.meters.count, EchoHeader: codec.CallIDHeader,
 	})
-	d.pool = newPool(limits.EndpointConnections)
+	d.pool = newPool(limits)
 	d.budget = newBudget(settings.Limits)
 	d.snapshots = make(chan struct{}, maxSnapshots)
 	d.freshness = newFreshness(d.tables.rosterHash)
