relay: evacuation of data centres by operators' records

Operators need a data centre to get nothing more within seconds, until they withdraw the order.

A record evacuate/ZONE of the operators' stream orders it, a record without a value or the absence in a newer full read withdraws it. decide/vacate orders the records by era and offset. Placement, the return to a silent endpoint, sources of cached tokens, the check before sending, the capacity plan and its orders obey. A service whose endpoints are all there answers 503 with Retry-After at once. A daemon is ready only with the operators' records, since it would serve an evacuated data centre before.

--- a/decide/scale/scale.go
+++ b/decide/scale/scale.go
@@ -54,7 +54,9 @@
 	// View is the input of a plan. Make doesn't modify it.
 	View struct {
 		Scaling setup.Scaling
-		// Ready is the number of endpoints that accept requests.
+		// Evacuated are the data centres that get no requests and no orders.
+		Evacuated []string
+		// Ready is the number of endpoints that accept requests, without those in evacuated data centres.
 		Ready map[Kind]int
 		// DiscoveryComplete says that there was enough time to discover all endpoints. Without it,
 		// the plan has no orders.
@@ -128,7 +130,9 @@
 // Make returns the plan for a service.
 func Make(v View) Plan {
 	p := Plan{State: v.State}
-	centres := slices.Sorted(maps.Keys(v.Scaling.Prices))
+	centres := slices.DeleteFunc(slices.Sorted(maps.Keys(v.Scaling.Prices)), func(c string) bool {
+		return slices.Contains(v.Evacuated, c)
+	})
 	if len(centres) == 0 || v.Scaling.Max <= 0 {
 		return p
 	}
--- a/decide/scale/scale_test.go
+++ b/decide/scale/scale_test.go
@@ -28,6 +28,8 @@
 		Firm        map[string]int `yaml:"Firm"`
 		Reclaimable map[string]int `yaml:"Reclaimable"`
 		Demand      float64        `yaml:"Demand"`
+		// Evacuated are the data centres that get no orders.
+		Evacuated []string `yaml:"Evacuated"`
 		// Refused are the kinds whose orders are refused.
 		Refused []string `yaml:"Refused"`
 		Want    []string `yaml:"Want"`
@@ -55,7 +57,7 @@
 		for c, count := range step.Reclaimable {
 			ready[Kind{c, true}] = count
 		}
-		plan := Make(View{Scaling: scaling, Ready: ready, Demand: step.Demand, State: state, DiscoveryComplete: step.At > 2, Now: now})
+		plan := Make(View{Scaling: scaling, Ready: ready, Demand: step.Demand, Evacuated: step.Evacuated, State: state, DiscoveryComplete: step.At > 2, Now: now})
 		state = plan.State
 		var got []string
 		for _, o := range plan.Orders {
--- a/entryd/relay/adapter.go
+++ b/entryd/relay/adapter.go
@@ -160,6 +160,9 @@
 		// Rollout decodes a record of Operators that orders a roll-out. It returns ErrOtherRecordKind for
 		// a record of another kind.
 		Rollout func(r Record) (Rollout, error)
+		// Evacuation returns the data centre whose evacuation the records of Operators with a key order, or withdraw if
+		// they have no value. It returns ErrOtherRecordKind for a key of another kind.
+		Evacuation func(key string) (dataCentre string, err error)
 		// RolloutStatus encodes the record that reports the status of a roll-out to the operators.
 		RolloutStatus func(r Rollout, v shift.Status) (key string, value []byte, err error)
 		// Endpoint decodes a record of Endpoints.
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -13,7 +13,6 @@
 
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
-	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -164,9 +163,9 @@
 	if a.ctx.Err() != nil {
 		return false
 	}
-	if responseStarted && x.daemon.tables.rejects(a.endpoint.ID, x.daemon.clock.now()) {
+	if reason, rejects := x.daemon.tables.rejects(a.endpoint, x.daemon.clock.now()); rejects && responseStarted {
 		// The request could not return to this endpoint if the other one can't go on.
-		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", roster.Rejecting)
+		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", reason)
 		return false
 	}
 	next, ok := x.selectEndpoint(responseStarted)
--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -9,7 +9,6 @@
 
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/scale"
-	"lentilstage.dev/domain/setup"
 )
 
 // capacityPlanner orders endpoints while this daemon holds the lease. Only the leader's goroutine
@@ -150,7 +149,7 @@
 		}
 		plan := scale.Make(scale.View{
 			Scaling: *service.Scaling, Ready: p.ready, Demand: p.demandWithLimits(), State: p.orderHistory, Now: now,
-			DiscoveryComplete: d.tables.settled(now),
+			DiscoveryComplete: d.tables.settled(now), Evacuated: d.tables.evacuated(),
 		})
 		p.orderHistory = plan.State
 		for _, o := range plan.Orders {
@@ -186,7 +185,7 @@
 	return p.orderHistory.WithSent(o, now)
 }
 
-// serviceState returns the number of ready endpoints of a service by kind, the engine time that all daemons
+// serviceState returns the number of ready endpoints of a service by kind outside evacuated data centres, the engine time that all daemons
 // have placed there, in seconds, and the capacity of those endpoints that limit their requests.
 func (t *tables) serviceState(service string, now time.Time) (ready map[scale.Kind]int, work float64, limited []float64) {
 	t.mutex.Lock()
@@ -194,7 +193,7 @@
 	t.refresh(now)
 	ready = map[scale.Kind]int{}
 	for _, e := range t.endpoints {
-		if e.Service == service && e.State == setup.Ready {
+		if e.Service == service && t.available(e) {
 			ready[scale.Kind{DataCentre: e.DataCentre, Reclaimable: e.Reclaimable}]++
 		}
 	}
--- a/entryd/relay/compress_test.go
+++ b/entryd/relay/compress_test.go
@@ -72,7 +72,7 @@
 		t.Fatal(err)
 	}
 	d.tables.applyConfig(config, Record{Key: "config"}, now)
-	d.tables.listed = true
+	d.tables.listed, d.tables.operatorsListed = true, true
 	for _, r := range manyRecords(300) {
 		d.tables.records[Endpoints][r.Key] = r
 	}
--- a/entryd/relay/control.go
+++ b/entryd/relay/control.go
@@ -195,6 +195,7 @@
 	for _, r := range t.records[Operators] {
 		s.Operators = append(s.Operators, r)
 	}
+	s.Operators = append(s.Operators, t.newestEvacuations()...)
 	for id, r := range t.records[Endpoints] {
 		if !t.roster.Missing(id) {
 			s.Endpoints = append(s.Endpoints, r)
@@ -249,6 +250,7 @@
 			continue
 		}
 		d.applyOperatorRecords(s.Operators)
+		d.tables.markOperatorsListed()
 		d.listMembers(s.Members)
 		keys := d.tables.endpointsOutside(s)
 		d.applyEndpointRecords(s.Endpoints)
--- a/entryd/relay/digest.go
+++ b/entryd/relay/digest.go
@@ -47,6 +47,7 @@
 	m.LoadsTo = math.MaxUint32
 	m.Poison = t.poisonReport(now)
 	m.Limits = t.limitReports(&t.digestLimits, now)
+	m.Evacuations = t.evacuationReports(&t.digestEvacuations, now)
 	m.Counts = newestWindows(t.usage.Own(), allCounts)
 	return m
 }
@@ -420,6 +421,7 @@
 	m := t.sumOf(t.ownMessage(now), starting, t.pastUsed, t.peers, now)
 	m.Prefixes, m.Poison = t.prefixTable.drainCentre(), t.poisonReport(now, t.peers)
 	m.Limits = t.limitReports(&t.sumLimits, now, t.peers)
+	m.Evacuations = t.evacuationReports(&t.sumEvacuations, now)
 	for service, work := range t.peerWork {
 		m.Work[service] += int64(work)
 	}
@@ -437,6 +439,7 @@
 	m.Prefixes, m.Work = t.prefixTable.drainAll(), nil
 	m.Poison = t.poisonReport(now, t.peers, t.centres)
 	m.Limits = t.limitReports(&t.totalLimits, now, t.peers, t.centres)
+	m.Evacuations = t.evacuationReports(&t.totalEvacuations, now)
 	t.totalsCursor = m.limitLoads(t.totalsCursor)
 	return m
 }
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -252,7 +252,11 @@
 	now := x.daemon.clock.now()
 	opensAt := x.daemon.tables.opensAt(x.service, now)
 	if opensAt.IsZero() || x.responseStarted || x.failedResponse != nil || x.mayHaveRun {
-		x.fail(notSent, "NoEndpoint")
+		reason := "NoEndpoint"
+		if x.daemon.tables.allEvacuated(x.service, now) {
+			reason = string(inEvacuation)
+		}
+		x.fail(notSent, reason)
 		return
 	}
 	// The route's timeout ends this request, not the caller's wait.
--- a/entryd/relay/exchange_test.go
+++ b/entryd/relay/exchange_test.go
@@ -155,6 +155,7 @@
 		}
 	}
 	sender.tables.applyListing(value.Position{Offset: 400}, nil, now.Add(-time.Hour))
+	sender.tables.markOperatorsListed()
 	for i := range 300 {
 		if i != 8 {
 			sender.addEndpoint(fmt.Sprint("engine-", i), int64(500+i))
@@ -219,6 +220,7 @@
 	}
 	d.tables.applyConfig(config, Record{Key: "config"}, now)
 	d.tables.applyListing(value.Position{Offset: 1}, nil, now)
+	d.tables.markOperatorsListed()
 	writing, stall := make(chan struct{}), make(chan struct{})
 	var sending sync.WaitGroup
 	for range maxSnapshots {
@@ -260,9 +262,13 @@
 		AnsweredMS:  map[poison.Key]int64{3: 5},
 		Quarantines: map[poison.Key]poison.QuarantineReport{4: {AgeMS: 9, FirstMS: 12, Probes: math.MaxInt}},
 	}})))
+	f.Add([]byte(encode(&Daemon{}, message{Daemon: "entry-3", Digest: true, Evacuations: []Record{
+		{Key: evacuationKey, Era: math.MinInt64, Offset: math.MaxInt64, Value: []byte("x")}, {Key: "other"}, {},
+	}})))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		now := time.Unix(1000, 0)
 		d := newTestDaemon(t, &now)
+		d.codec.Evacuation = evacuationCodec
 		if m, acknowledged, err := decodeDatagram(data); err == nil && len(m.Put)+len(m.Operators) == 0 {
 			d.gossip.handle(m, acknowledged, "127.0.0.1:9")
 			d.gossip.sendAll()
--- a/entryd/relay/follower_test.go
+++ b/entryd/relay/follower_test.go
@@ -96,6 +96,7 @@
 	}
 	sender.tables.deleteEndpoint(Record{Key: "e2", Offset: 9}, now)
 	sender.tables.applyListing(value.Position{Offset: 10}, []string{"e1"}, now)
+	sender.tables.markOperatorsListed()
 	sender.freshness.recordOwnRead(Endpoints, value.Position{Offset: 10}, now)
 	// A daemon sends snapshots only when it is ready.
 	config, err := setup.New(1, nil, nil, nil, setup.Limits{})
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -188,6 +188,9 @@
 	d.observeEra(m.Era, m.Daemon)
 	d.freshness.recordVersion(m.Config, now)
 	d.tables.recordLogRead(ago(m.LogReadableMS, now), ago(m.ReadAgeMS, now))
+	for _, r := range m.Evacuations {
+		d.applyEvacuationRecord(r)
+	}
 	switch {
 	case m.Sum && m.Totals != nil:
 		g.handleSum(m, now)
--- a/entryd/relay/limits.go
+++ b/entryd/relay/limits.go
@@ -180,18 +180,22 @@
 	}
 	count := 0
 	for _, e := range t.endpoints {
-		if e.Service == service && e.State == setup.Ready {
+		if e.Service == service && t.available(e) {
 			count++
 		}
 	}
 	return choice.Attraction(count)
 }
 
-// markSent records that the bytes of a placed call go to its endpoint.
+// markSent records that the bytes of a placed call go to its endpoint. That one must not fetch from an endpoint whose
+// data centre was evacuated meanwhile.
 func (t *tables) markSent(p *placement) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	p.sent = true
+	if t.evacuations.Evacuated(p.sourceCentre) {
+		p.source = ""
+	}
 }
 
 // limitedCapacity returns the engine time per second of the requests that each limited endpoint of a service takes. The
@@ -203,7 +207,7 @@
 	seconds := t.work[service] / t.placed[service] / 1000
 	var capacity []float64
 	for _, e := range t.endpoints {
-		if e.Service != service || e.State != setup.Ready {
+		if e.Service != service || !t.available(e) {
 			continue
 		}
 		if limit, ok := t.quota.Limit(limitKey(e.ID)); ok {
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -61,6 +61,8 @@
 		Poison *poison.Report `cbor:"39,keyasint,omitempty"`
 		// Limits holds the numbers of requests a second that endpoints take, by short identifiers.
 		Limits map[uint32]limitReport `cbor:"43,keyasint,omitempty"`
+		// Evacuations are the newest records of evacuations, withdrawals included. About once a second; 60 bytes each.
+		Evacuations []Record `cbor:"60,keyasint,omitempty"`
 		// Outcomes are the outcomes of roll-outs, by service.
 		Outcomes map[string]outcomes `cbor:"21,keyasint,omitempty"`
 		// Recent is the part of Used by processes that have just started, AgeMS the time since the
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -17,6 +17,7 @@
 	"lentilstage.dev/decide/shift"
 	"lentilstage.dev/decide/suspect"
 	"lentilstage.dev/decide/usage"
+	"lentilstage.dev/decide/vacate"
 	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/domain/value"
 )
@@ -57,6 +58,13 @@
 		// daemon, both by short identifiers. The times are those of the last messages with limits.
 		limits, ownLimits                    map[uint32]statedLimit
 		digestLimits, sumLimits, totalLimits time.Time
+		// evacuations are the evacuated data centres, evacuationRecords the last key and value of each one's records.
+		// The times are those of the last messages with evacuations. operatorsListed reports whether the operators'
+		// records were all read.
+		evacuations                                         vacate.State
+		evacuationRecords                                   map[string]Record
+		digestEvacuations, sumEvacuations, totalEvacuations time.Time
+		operatorsListed                                     bool
 		// shortIDs are the short identifiers of the endpoints.
 		shortIDs map[uint32]bool
 		// placed is the number of requests whose engine time is in work, by service.
@@ -125,8 +133,9 @@
 		load     choice.Load
 		// sent reports whether bytes of the request have gone to the endpoint.
 		sent bool
-		// source is the address of an endpoint that has cached a part of the prompt; empty for none.
-		source string
+		// source is the address of an endpoint that has cached a part of the prompt, empty for none, and sourceCentre
+		// that endpoint's data centre.
+		source, sourceCentre string
 	}
 )
 
@@ -166,8 +175,9 @@
 		pastUsed: map[string]int64{}, pastUsedElsewhere: map[string]int64{},
 		work: map[string]float64{}, placed: map[string]float64{},
 		limits: map[uint32]statedLimit{}, ownLimits: map[uint32]statedLimit{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
-		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
-		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{},
+		evacuationRecords: map[string]Record{},
+		prefixTable:       newPrefixTable(s.Limits.CacheReuseWindow),
+		misdirected:       map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{},
 	}
 }
 
@@ -182,7 +192,7 @@
 func (t *tables) ready() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.config != nil && t.listed
+	return t.config != nil && t.listed && t.operatorsListed
 }
 
 // applyConfig applies a configuration if it is newer and reports whether it did.
@@ -409,7 +419,7 @@
 	offered := t.attraction(r.service)
 	found := candidates{healthy: make([]choice.Candidate, 0, len(t.endpoints))}
 	for _, e := range t.endpoints {
-		if e.Service != r.service || r.excludes(e.ID) {
+		if e.Service != r.service || r.excludes(e.ID) || t.evacuations.Evacuated(e.DataCentre) {
 			continue
 		}
 		if born, wrong := t.misdirected[e.ID]; wrong && born == e.StartedAtMS {
@@ -472,7 +482,7 @@
 	t.refresh(now)
 	var first time.Time
 	for _, e := range t.endpoints {
-		if e.Service != service || e.State != setup.Ready {
+		if e.Service != service || !t.available(e) {
 			continue
 		}
 		until, _ := t.closedUntil(e, 0, now)
@@ -486,15 +496,22 @@
 	return first
 }
 
-// rejects reports whether the endpoint wants no requests of this daemon at present.
-func (t *tables) rejects(id string, now time.Time) bool {
+// rejects reports whether the endpoint must get no requests of this daemon at present, and why: it wants none, or its
+// data centre is evacuated.
+func (t *tables) rejects(endpoint setup.Endpoint, now time.Time) (roster.Reason, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return now.Before(t.roster.RejectsUntil(id))
+	switch {
+	case t.evacuations.Evacuated(endpoint.DataCentre):
+		return inEvacuation, true
+	case now.Before(t.roster.RejectsUntil(endpoint.ID)):
+		return roster.Rejecting, true
+	}
+	return "", false
 }
 
 // withdrawn reports whether an endpoint that was chosen for a request must not get it any more, and why: it rejects
-// requests, is leaving or gone, or another process has its identifier. A limit does not count: the request was
+// requests, is leaving or gone, its data centre is evacuated, or another process has its identifier. A limit does not count: the request was
 // deducted from it when the endpoint was chosen.
 func (t *tables) withdrawn(chosen setup.Endpoint, now time.Time) (roster.Reason, bool) {
 	t.mutex.Lock()
@@ -508,6 +525,8 @@
 		return roster.Restarted, true
 	case current.State != setup.Ready:
 		return roster.Left, true
+	case t.evacuations.Evacuated(current.DataCentre):
+		return inEvacuation, true
 	case now.Before(t.roster.RejectsUntil(chosen.ID)):
 		return roster.Rejecting, true
 	}
@@ -561,7 +580,7 @@
 	endpoint, _ := t.endpoint(picked.Candidate.ID)
 	p := &placement{endpoint: endpoint.ID, load: choice.Load{Requests: 1}}
 	if source, ok := t.endpoint(picked.Source); ok {
-		p.source = source.Address
+		p.source, p.sourceCentre = source.Address, source.DataCentre
 	}
 	if request.Model {
 		p.load.Reading, p.load.Memory = float64(picked.Uncached), float64(request.Prompt+request.Answer)
--- a/entryd/relay/tables_test.go
+++ b/entryd/relay/tables_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilstage.dev/decide/health"
+	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -152,8 +153,11 @@
 	endpoint := setup.Endpoint{ID: "e1", Service: "pool", Address: "127.0.0.1:1", Slots: 4, State: setup.Ready}
 	tables.putEndpoint(Record{Key: "e1", Offset: 1}, endpoint, now)
 	tables.refresh(now)
-	if !tables.recordRejection(endpoint, now.Add(time.Second), now) || !tables.rejects("e1", now) {
-		t.Error("the rejection has no effect")
+	if !tables.recordRejection(endpoint, now.Add(time.Second), now) {
+		t.Error("the rejection is no change")
+	}
+	if reason, rejects := tables.rejects(endpoint, now); !rejects || reason != roster.Rejecting {
+		t.Errorf("rejects: %v (%s) after the rejection", rejects, reason)
 	}
 	if tables.stale {
 		t.Error("the rejection makes the derived tables out of date")
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -76,6 +76,7 @@
 	s := &streamReader{
 		daemon: d, stream: Operators, wait: operatorsWait, apply: d.applyOperatorRecords,
 		setReachable: func(reachable bool) { d.operatorsUnreachable.Store(!reachable) },
+		onListing:    d.applyOperatorListing,
 		forward:      d.gossip.sendOperators,
 		newerKnown: func() bool {
 			config := d.tables.currentConfig()
@@ -290,14 +291,21 @@
 	s.daemon.logger.WithName("store").Info("Unreachable.", "Stream", s.stream, "Next", next.Offset, "Era", next.Era, "Error", err.Error())
 }
 
-// applyOperatorRecords applies operators' records.
+// applyOperatorRecords applies operators' records. Evacuations come first: with its first configuration a daemon may
+// begin to serve.
 func (d *Daemon) applyOperatorRecords(records []Record) {
+	var others []Record
 	for _, r := range records {
+		if !d.applyEvacuationRecord(r) {
+			others = append(others, r)
+		}
+	}
+	for _, r := range others {
 		d.applyOperatorRecord(r)
 	}
 }
 
-// applyOperatorRecord applies an operators' record.
+// applyOperatorRecord applies an operators' record that concerns no evacuation.
 func (d *Daemon) applyOperatorRecord(r Record) {
 	if r.Value == nil {
 		return
