--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -185,8 +185,8 @@
 	return p.orderHistory.WithSent(o, now)
 }
 
-// serviceState returns the number of ready endpoints of a service by kind outside evacuated data centres, the engine time that all daemons
-// have placed there, in seconds, and the capacity of those endpoints that limit their requests.
+// serviceState returns the number of ready endpoints of a service by kind outside evacuated data centres, the engine
+// time that all daemons have placed there, in seconds, and the capacity of those endpoints that limit their requests.
 func (t *tables) serviceState(service string, now time.Time) (ready map[scale.Kind]int, work float64, limited []float64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -63,6 +63,17 @@
 		Limits map[uint32]limitReport `cbor:"43,keyasint,omitempty"`
 		// Evacuations are the newest records of evacuations, withdrawals included. About once a second; 60 bytes each.
 		Evacuations []Record `cbor:"60,keyasint,omitempty"`
+		// Observed are the speeds that were observed at endpoints since the last such message: by the sender in a
+		// digest, in its data centre in a sum.
+		Observed speedTallies `cbor:"64,keyasint,omitempty"`
+		// Speeds are the speeds of endpoints in totals, for the keys from SpeedsFrom to SpeedsTo. Endpoints in the
+		// range that Speeds leaves out have the usual speed, as far as is known.
+		Speeds     speedLogs `cbor:"65,keyasint,omitempty"`
+		SpeedsFrom uint32    `cbor:"66,keyasint,omitempty"`
+		SpeedsTo   uint32    `cbor:"67,keyasint,omitempty"`
+		// Demand holds what callers ask of each service, by short identifiers of services: of the sender in a digest,
+		// of its data centre in a sum, of all daemons in totals.
+		Demand map[uint32]demandReport `cbor:"44,keyasint,omitempty"`
 		// Outcomes are the outcomes of roll-outs, by service.
 		Outcomes map[string]outcomes `cbor:"21,keyasint,omitempty"`
 		// Recent is the part of Used by processes that have just started, AgeMS the time since the
@@ -114,6 +125,18 @@
 		EndedEra int64 `cbor:"8,keyasint,omitempty"`
 	}
 
+	// demandReport is what callers ask of a service, in milliseconds of endpoint time.
+	demandReport struct {
+		_ struct{} `cbor:",toarray"`
+		// Offered is the work per second by short identifiers of client accounts, Refused the part of it that was
+		// refused for overload.
+		Offered map[uint32]int
+		Refused int
+		// Promised is the work of refused requests that were told to return, by time slot from FirstSlot on.
+		FirstSlot uint16
+		Promised  []int
+	}
+
 	// referral is what a message says about another daemon than its sender.
 	referral struct {
 		Name         string  `cbor:"1,keyasint"`
