homes, relay: requests stay in the regions that their route and account allow

allowed_regions of routes and tenants; region and zones.NAME of the settings map data centres to regions. decide/homes allows a data centre only if each list that is set has its region; an unknown region is not allowed, an empty list counts as none. The lists of the present configuration decide at each placement and directly before sending, also of the source of cached tokens. Without a home the request is refused at once with 503 (NoHome), not run.

--- a/domain/setup/setup.go
+++ b/domain/setup/setup.go
@@ -50,6 +50,8 @@
 		Public bool
 		// Resumable streams may be resumed at another endpoint after the last delivered event.
 		Resumable bool
+		// AllowedRegions are the regions whose endpoints may serve the requests; all if empty.
+		AllowedRegions []string
 	}
 
 	// Engine describes the model engines that run a service.
@@ -104,6 +106,8 @@
 		CountsTokens bool
 		// DefaultTokens is the cost in tokens of a request without token counts if CountsTokens is set.
 		DefaultTokens int
+		// AllowedRegions are the regions whose endpoints may serve the account's requests; all if empty.
+		AllowedRegions []string
 	}
 
 	// Limits bounds the requests of callers.
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -98,13 +98,14 @@
 	if err != nil {
 		return a.dialFailed(err)
 	}
-	if reason, withdrawn := x.daemon.tables.withdrawn(endpoint, x.daemon.clock.now()); withdrawn {
+	rule := x.homes()
+	if reason, withdrawn := x.daemon.tables.withdrawn(endpoint, rule, x.daemon.clock.now()); withdrawn {
 		// It was taken out of use while this request was being connected.
 		_ = c.Close()
 		x.log("Not sent.", "Endpoint", endpoint.ID, "Reason", reason)
 		return notSent
 	}
-	x.daemon.tables.markSent(selected.placed)
+	x.daemon.tables.markSent(selected.placed, rule)
 	a.endpointConn, a.reused = c, reused
 	a.sentAt = x.daemon.clock.now()
 	_ = c.SetDeadline(x.deadline)
--- a/entryd/relay/evacuation.go
+++ b/entryd/relay/evacuation.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lentilstage.dev/decide/homes"
 	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/decide/vacate"
 	"lentilstage.dev/domain/setup"
@@ -30,6 +31,8 @@
 	evacuationsInterval = time.Second
 	// inEvacuation means that an endpoint's data centre is evacuated.
 	inEvacuation roster.Reason = "Evacuated"
+	// outsideHomes means that an endpoint's data centre is in no region that the route and the account allow.
+	outsideHomes roster.Reason = "NoHome"
 )
 
 // applyEvacuationRecord applies an operators' record that may order an evacuation or withdraw one. It reports whether
@@ -67,7 +70,7 @@
 	for _, c := range changes {
 		fields := []any{
 			"DataCentre", c.DataCentre, "Endpoints", len(c.endpoints), "Ready", c.ready, "ReadyElsewhere", c.readyElsewhere,
-			"Era", c.Position.Era, "Offset", c.Position.Offset,
+			"Era", c.Position.Era, "Offset", c.Position.Offset, "BoundMilliseconds", d.settings.Limits.EvacuationTime.Milliseconds(),
 		}
 		switch c.Reason {
 		case vacate.Begun:
@@ -178,13 +181,21 @@
 	return t.evacuations.InForce()
 }
 
-// allEvacuated reports whether the service has ready endpoints, and all of them are in evacuated data centres.
-func (t *tables) allEvacuated(service string, now time.Time) bool {
+// barred reports whether the service has ready endpoints of which none may get a request with the rule, and why: they are
+// outside the allowed regions, or those within are in evacuated data centres.
+func (t *tables) barred(service string, rule homes.Rule, now time.Time) (roster.Reason, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.refresh(now)
 	ready := slices.DeleteFunc(slices.Clone(t.endpoints), func(e setup.Endpoint) bool { return e.Service != service || e.State != setup.Ready })
-	return len(ready) > 0 && !slices.ContainsFunc(ready, t.available)
+	allowed := slices.DeleteFunc(slices.Clone(ready), func(e setup.Endpoint) bool { return !t.regions.Allow(rule, e.DataCentre) })
+	switch {
+	case len(ready) > 0 && len(allowed) == 0:
+		return outsideHomes, true
+	case len(allowed) > 0 && !slices.ContainsFunc(allowed, t.available):
+		return inEvacuation, true
+	}
+	return "", false
 }
 
 // evacuationReports returns the newest records of evacuations for a message, if one is due since the last message of
--- a/entryd/relay/evacuation_test.go
+++ b/entryd/relay/evacuation_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lentilstage.dev/decide/choice"
+	"lentilstage.dev/decide/homes"
 	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/domain/value"
@@ -55,7 +56,7 @@
 	if changes := tables.recordEvacuation("a", evacuationOrder("a", 5), now); len(changes) != 1 || changes[0].ready != 2 || changes[0].readyElsewhere != 1 {
 		t.Errorf("changes %+v, want one with 2 endpoints there and 1 elsewhere", changes)
 	}
-	tables.markSent(sent)
+	tables.markSent(sent, homes.Rule{})
 	if sent.source != "" {
 		t.Errorf("the request is sent with %s as the source of cached tokens", sent.source)
 	}
@@ -73,7 +74,7 @@
 	if reason, rejects := tables.rejects(endpoints["e1"], now); !rejects || reason != inEvacuation {
 		t.Errorf("a request may return to the silent endpoint e1 (reason %q)", reason)
 	}
-	if reason, withdrawn := tables.withdrawn(endpoints["e1"], now); !withdrawn || reason != inEvacuation {
+	if reason, withdrawn := tables.withdrawn(endpoints["e1"], homes.Rule{}, now); !withdrawn || reason != inEvacuation {
 		t.Errorf("e1 may get a request that is being connected (reason %q)", reason)
 	}
 	tables.recordLeaving(endpoints["e1"])
@@ -83,11 +84,11 @@
 	if ready, _, _ := tables.serviceState("pool", now); len(ready) != 1 {
 		t.Errorf("the capacity plan counts %v", ready)
 	}
-	if tables.allEvacuated("pool", now) {
-		t.Error("all endpoints count as evacuated although one is left")
+	if reason, barred := tables.barred("pool", homes.Rule{}, now); barred {
+		t.Errorf("no endpoint counts as usable (%s) although one is left", reason)
 	}
 	tables.recordEvacuation("b", evacuationOrder("b", 6), now)
-	if !tables.allEvacuated("pool", now) || !tables.opensAt("pool", now).IsZero() {
+	if reason, _ := tables.barred("pool", homes.Rule{}, now); reason != inEvacuation || !tables.opensAt("pool", homes.Rule{}, now).IsZero() {
 		t.Error("not all endpoints count as evacuated, or a time is promised at which one takes requests")
 	}
 }
@@ -165,11 +166,11 @@
 	tables.putEndpoint(Record{Key: "e1", Offset: 1}, e, now)
 	tables.recordEvacuation("a", evacuationOrder("a", 5), now)
 	tables.recordEvacuation("a", Record{Key: evacuationKey + "a", Era: 1, Offset: 6}, now)
-	if reason, withdrawn := tables.withdrawn(e, now); withdrawn {
+	if reason, withdrawn := tables.withdrawn(e, homes.Rule{}, now); withdrawn {
 		t.Errorf("the endpoint is out of use (%s) after the evacuation has ended", reason)
 	}
 	tables.recordRejection(e, now.Add(time.Second), now)
-	if reason, _ := tables.withdrawn(e, now); reason != roster.Rejecting {
+	if reason, _ := tables.withdrawn(e, homes.Rule{}, now); reason != roster.Rejecting {
 		t.Errorf("reason %s, want %s", reason, roster.Rejecting)
 	}
 }
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -9,6 +9,7 @@
 	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
+	"lentilstage.dev/decide/homes"
 	"lentilstage.dev/decide/poison"
 	"lentilstage.dev/decide/retry"
 	"lentilstage.dev/decide/suspect"
@@ -217,11 +218,26 @@
 
 func (x *exchange) selectFrom(r placeRequest) (next selection, ok bool) {
 	d := x.daemon
-	r.service, r.call, r.target, r.account = x.service, x.call, x.route.LatencyTarget, x.account.Name
+	r.service, r.call, r.target, r.account, r.homes = x.service, x.call, x.route.LatencyTarget, x.account.Name, x.homes()
 	next.endpoint, next.picked, next.placed, ok = d.tables.place(r, d.clock.now(), d.random)
 	return next, ok
 }
 
+// homes returns the regions in which the request may be served, by the configuration of this moment. If that has no such
+// route any more, the lists at the arrival hold.
+func (x *exchange) homes() homes.Rule {
+	route, account := x.route, x.account
+	if config := x.daemon.tables.currentConfig(); config != nil && config != x.config {
+		if current, ok := config.Match(x.call.Host, x.call.Path); ok {
+			route = current
+		}
+		if current, ok := config.Accounts[account.Name]; ok {
+			account = current
+		}
+	}
+	return homes.Rule{Route: route.AllowedRegions, Account: account.AllowedRegions}
+}
+
 // reserveSilent reserves the endpoint that the last fail-over has left if the request would otherwise fail
 // with the outcome: the endpoint may have been sound and only silent.
 func (x *exchange) reserveSilent(result outcome) bool {
@@ -261,11 +277,11 @@
 // the caller is told when the first one takes them again.
 func (x *exchange) failWithoutEndpoint() {
 	now := x.daemon.clock.now()
-	opensAt := x.daemon.tables.opensAt(x.service, now)
+	opensAt := x.daemon.tables.opensAt(x.service, x.homes(), now)
 	if opensAt.IsZero() || x.responseStarted || x.failedResponse != nil || x.mayHaveRun {
 		reason := "NoEndpoint"
-		if x.daemon.tables.allEvacuated(x.service, now) {
-			reason = string(inEvacuation)
+		if why, barred := x.daemon.tables.barred(x.service, x.homes(), now); barred {
+			reason = string(why)
 		}
 		x.fail(notSent, reason)
 		return
--- a/entryd/relay/limits.go
+++ b/entryd/relay/limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilstage.dev/decide/choice"
+	"lentilstage.dev/decide/homes"
 	"lentilstage.dev/decide/quota"
 	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/domain/setup"
@@ -207,12 +208,12 @@
 }
 
 // markSent records that the bytes of a placed call go to its endpoint. That one must not fetch from an endpoint whose
-// data centre was evacuated meanwhile.
-func (t *tables) markSent(p *placement) {
+// data centre was evacuated meanwhile or is not allowed any more.
+func (t *tables) markSent(p *placement, rule homes.Rule) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	p.sent = true
-	if t.evacuations.Evacuated(p.sourceCentre) {
+	if t.evacuations.Evacuated(p.sourceCentre) || !t.regions.Allow(rule, p.sourceCentre) {
 		p.source = ""
 	}
 }
--- a/entryd/relay/settings.go
+++ b/entryd/relay/settings.go
@@ -12,6 +12,9 @@
 	Settings struct {
 		Name       string
 		DataCentre string
+		// Region is the region of DataCentre, Regions those of data centres by name; empty if not known.
+		Region  string
+		Regions map[string]string
 		// Listen is the address for callers, ReadyListen for the balancer's health checks,
 		// ControlListen for other daemons that fetch snapshots, PeerListen for messages between
 		// daemons, MetricsListen for metrics. All are IP:port; the last three may be empty.
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -11,6 +11,7 @@
 	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
+	"lentilstage.dev/decide/homes"
 	"lentilstage.dev/decide/pace"
 	"lentilstage.dev/decide/poison"
 	"lentilstage.dev/decide/quota"
@@ -66,6 +67,8 @@
 		evacuationRecords                                   map[string]Record
 		digestEvacuations, sumEvacuations, totalEvacuations time.Time
 		operatorsListed                                     bool
+		// regions are the regions of the data centres.
+		regions homes.Regions
 		// warmth is what is known of endpoints that were cold, coldLimits the rates that apply to those that are, both by
 		// short identifiers. coldLimits are out of date while coldStale is set. The times are those of the last messages
 		// with cold endpoints.
@@ -201,8 +204,8 @@
 		pastUsed: map[string]int64{}, pastUsedElsewhere: map[string]int64{},
 		work: map[string]float64{}, placed: map[string]float64{},
 		limits: map[uint32]statedLimit{}, ownLimits: map[uint32]statedLimit{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
-		evacuationRecords: map[string]Record{},
-		warmth:            map[uint32]warmth{}, coldLimits: map[uint32]float64{}, coldOverrun: s.Limits.ColdOverrun, coldTolerance: s.Limits.ColdTolerance,
+		evacuationRecords: map[string]Record{}, regions: homes.New(s.DataCentre, s.Region, s.Regions),
+		warmth: map[uint32]warmth{}, coldLimits: map[uint32]float64{}, coldOverrun: s.Limits.ColdOverrun, coldTolerance: s.Limits.ColdTolerance,
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{}, speeds: newEndpointSpeeds(),
 		demand: map[string]*serviceDemand{}, demandSentAt: map[messageKind]time.Time{}, daemons: 1,
@@ -461,7 +464,7 @@
 	offered := t.attraction(r.service)
 	found := candidates{healthy: make([]choice.Candidate, 0, len(t.endpoints))}
 	for _, e := range t.endpoints {
-		if e.Service != r.service || r.excludes(e.ID) || t.evacuations.Evacuated(e.DataCentre) {
+		if e.Service != r.service || r.excludes(e.ID) || t.evacuations.Evacuated(e.DataCentre) || !t.regions.Allow(r.homes, e.DataCentre) {
 			continue
 		}
 		if born, wrong := t.misdirected[e.ID]; wrong && born == e.StartedAtMS {
@@ -517,15 +520,15 @@
 	return c.open(t.filterByVersion(service, list, random))
 }
 
-// opensAt returns when the first endpoint of the service takes requests again if none does now; zero if one
+// opensAt returns when the first endpoint of the service that the rule allows takes requests again if none does now; zero if one
 // takes them or none is known.
-func (t *tables) opensAt(service string, now time.Time) time.Time {
+func (t *tables) opensAt(service string, rule homes.Rule, now time.Time) time.Time {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.refresh(now)
 	var first time.Time
 	for _, e := range t.endpoints {
-		if e.Service != service || !t.available(e) {
+		if e.Service != service || !t.available(e) || !t.regions.Allow(rule, e.DataCentre) {
 			continue
 		}
 		until, _ := t.closedUntil(e, 0, now)
@@ -554,9 +557,9 @@
 }
 
 // withdrawn reports whether an endpoint that was chosen for a request must not get it any more, and why: it rejects
-// requests, is leaving or gone, its data centre is evacuated, or another process has its identifier. A limit does not count: the request was
+// requests, is leaving or gone, its data centre is evacuated or not allowed any more, or another process has its identifier. A limit does not count: the request was
 // deducted from it when the endpoint was chosen.
-func (t *tables) withdrawn(chosen setup.Endpoint, now time.Time) (roster.Reason, bool) {
+func (t *tables) withdrawn(chosen setup.Endpoint, rule homes.Rule, now time.Time) (roster.Reason, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.refresh(now)
@@ -570,6 +573,8 @@
 		return roster.Left, true
 	case t.evacuations.Evacuated(current.DataCentre):
 		return inEvacuation, true
+	case !t.regions.Allow(rule, current.DataCentre):
+		return outsideHomes, true
 	case now.Before(t.roster.RejectsUntil(chosen.ID)):
 		return roster.Rejecting, true
 	}
@@ -592,6 +597,8 @@
 	target  time.Duration
 	// account is the name of the client account; empty without accounts.
 	account string
+	// homes are the regions in which the call may be served.
+	homes homes.Rule
 	// tried holds the endpoints that must not get the call again.
 	tried map[string]bool
 	// only is the only endpoint that may get the call, although it was tried; empty for any other one.
--- a/entryd/relay/tables_test.go
+++ b/entryd/relay/tables_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilstage.dev/decide/health"
+	"lentilstage.dev/decide/homes"
 	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/domain/setup"
 )
@@ -136,11 +137,11 @@
 	if got := place(toNew); got != "e3" {
 		t.Errorf("placed at %q, want the new version", got)
 	}
-	if opensAt := tables.opensAt("pool", now); !opensAt.IsZero() {
+	if opensAt := tables.opensAt("pool", homes.Rule{}, now); !opensAt.IsZero() {
 		t.Errorf("the service takes requests at %v although the new version takes them now", opensAt)
 	}
 	tables.recordRejection(endpoints["e3"], now.Add(3*time.Second), now)
-	if opensAt := tables.opensAt("pool", now); !opensAt.Equal(now.Add(time.Second)) {
+	if opensAt := tables.opensAt("pool", homes.Rule{}, now); !opensAt.Equal(now.Add(time.Second)) {
 		t.Errorf("the service takes requests at %v, want the first endpoint's time", opensAt)
 	}
 }
