relay: a daemon that stops as planned releases its part of what daemons share

Cause: a daemon that was stopped with SIGTERM counted as silent at the others for up to 70 s, and a start read its record as that of a silent daemon: after six of seven had left, most requests within the allowances were refused.

A draining daemon announces the end of its use in every message and in its record: first the end of its drain, then, once requests are refused and none is open, the present. Its last digest or sums go before that, so that what it used stays deducted. A daemon of another centre that was its last is removed from the allowances too. Messages of a process that has left are dropped, those of its successor count.

--- a/entryd/relay/digest.go
+++ b/entryd/relay/digest.go
@@ -412,6 +412,24 @@
 	t.quota.Update(quota.PeerRemoved{Daemon: daemon, Now: now})
 }
 
+// depart removes the state of a daemon whose process has ended as planned, but keeps its counts. remaining is the
+// number of known daemons of its data centre.
+func (t *tables) depart(daemon hubs.Member, remaining int, now time.Time) {
+	t.expire(daemon.Name, now)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if daemon.DataCentre == t.centre {
+		return
+	}
+	if remaining > 0 {
+		t.quota.Update(quota.PeerReduced{Daemon: centrePrefix + daemon.DataCentre, Daemons: remaining, Now: now})
+		return
+	}
+	t.centres[daemon.DataCentre].addCounted(t.pastUsedElsewhere)
+	delete(t.centres, daemon.DataCentre)
+	t.quota.Update(quota.PeerRemoved{Daemon: centrePrefix + daemon.DataCentre, Now: now})
+}
+
 // sums returns a message with the loads and usage of this daemon and its followers, for other hubs.
 // starting reports whether this process has just started.
 func (t *tables) sums(now time.Time, starting, allCounts bool) message {
--- a/entryd/relay/drain_test.go
+++ b/entryd/relay/drain_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"time"
 
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -31,6 +33,13 @@
 	return c.Conn.Write(data)
 }
 
+// unavailableStore returns a log that rejects all records.
+func unavailableStore() Store {
+	return Store{Append: func(context.Context, Stream, int64, string, []byte) (value.Position, error) {
+		return value.Position{}, ErrUnavailable
+	}}
+}
+
 // TestDrainFlushesLastResponse guards against a planned stop that closes the connections while the last
 // response is in its buffer: its caller gets neither an answer nor a refusal.
 func TestDrainFlushesLastResponse(t *testing.T) {
@@ -39,6 +48,7 @@
 	d := newTestDaemon(t, &now)
 	d.clock.now = time.Now
 	d.settings.Limits.GracePeriod = 2 * drainIdleTime
+	d.store = unavailableStore()
 	received, answer := make(chan struct{}), make(chan struct{})
 	d.codec.ReadCall = func(*http.Request, time.Time) (Call, error) {
 		close(received)
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -35,6 +35,8 @@
 		hub, reader string
 		// countsAt is when the counts of all usage windows were last sent.
 		countsAt time.Time
+		// flushes has an element for each call of flush. Its channel is closed once the messages are sent.
+		flushes chan chan struct{}
 	}
 
 	// datagram is an encoded message with room for an acknowledgement, so that one encoding serves
@@ -62,6 +64,8 @@
 	digestWindows = 4
 	// followTTL is how long a follower receives totals without a new request.
 	followTTL = 2 * time.Second
+	// flushTimeout limits the wait for messages that are sent outside the interval.
+	flushTimeout = 100 * time.Millisecond
 	// receiveRetryDelay is the pause after a failed receive.
 	receiveRetryDelay = 100 * time.Millisecond
 	// hubName is the quota key of the totals that come from the hub.
@@ -72,7 +76,7 @@
 )
 
 func newGossip(d *Daemon) *gossip {
-	return &gossip{daemon: d, sequence: d.clock.localNow().UnixMilli()}
+	return &gossip{daemon: d, sequence: d.clock.localNow().UnixMilli(), flushes: make(chan chan struct{})}
 }
 
 // run exchanges messages until the context ends.
@@ -99,12 +103,48 @@
 	for ctx.Err() == nil {
 		next := g.daemon.clock.now().Add(g.daemon.members.interval())
 		g.sendAll()
-		sleep(ctx, next.Sub(g.daemon.clock.now()))
+		g.waitUntil(ctx, next)
 	}
 	<-done
 	return nil
 }
 
+// waitUntil waits until a time or the end of the context, and meanwhile sends messages when they are flushed.
+func (g *gossip) waitUntil(ctx context.Context, next time.Time) {
+	timer := time.NewTimer(next.Sub(g.daemon.clock.now()))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case sent := <-g.flushes:
+			g.sendAll()
+			close(sent)
+		}
+	}
+}
+
+// flush sends the messages of an interval at once. It gives up after flushTimeout.
+func (g *gossip) flush() {
+	if g.conn.Load() == nil {
+		return
+	}
+	timer := time.NewTimer(flushTimeout)
+	defer timer.Stop()
+	sent := make(chan struct{})
+	select {
+	case g.flushes <- sent:
+	case <-timer.C:
+		return
+	}
+	select {
+	case <-sent:
+	case <-timer.C:
+	}
+}
+
 // receive handles messages until the connection is closed.
 func (g *gossip) receive(ctx context.Context, conn *net.UDPConn) {
 	buffer := make([]byte, maxDatagramBytes)
@@ -171,13 +211,23 @@
 		return
 	}
 	now := d.clock.now()
-	isNew := false
+	isNew, hasLeft := false, false
 	d.members.use(func(s *hubs.State) {
+		if hasLeft = s.HasLeft(m.Daemon, m.Incarnation, now); hasLeft {
+			return
+		}
 		isNew = s.Observe(m.report(from, now), now)
 		for _, r := range m.Referrals {
 			s.Refer(r.report(now), now)
 		}
 	})
+	if hasLeft {
+		// Its counts would make it a peer again that shares the allowances.
+		d.meters.count("Digests.Departed")
+		return
+	}
+	// The sender's last counts are applied before it is removed.
+	defer d.applyLeaves(m.Leaves, now)
 	if isNew {
 		d.logger.WithName("gossip").Info("Daemon process discovered.", "Daemon", m.Daemon, "Address", from, "Incarnation", m.Incarnation)
 	}
@@ -453,6 +503,9 @@
 		for _, r := range s.Referrals(now) {
 			m.Referrals = append(m.Referrals, newReferral(r, now))
 		}
+		for _, l := range s.Leaves(now) {
+			m.Leaves = append(m.Leaves, newLeave(l, now))
+		}
 	})
 }
 
--- a/entryd/relay/members.go
+++ b/entryd/relay/members.go
@@ -187,9 +187,13 @@
 			reads = startupReads
 		}
 		if readAt.IsZero() || now.Sub(readAt) > interval {
-			if err := d.readMembers(ctx); err == nil {
+			if replaced, err := d.readMembers(ctx); err == nil {
 				readAt = now
 				reads++
+				if replaced {
+					// The last record of an earlier process has arrived late.
+					writtenAt = time.Time{}
+				}
 			}
 		}
 		var gone []hubs.Member
@@ -208,6 +212,9 @@
 	var record hubs.Member
 	d.members.use(func(s *hubs.State) { record = s.Self().Member })
 	record.At = d.clock.wallNow()
+	if at := d.leavesAt.Load(); at != 0 {
+		record.LeavesAt = record.At.Add(time.Duration(at) - d.age(d.clock.now()))
+	}
 	encoded, err := json.Marshal(record)
 	if err != nil {
 		return value.Position{}, err
@@ -217,12 +224,14 @@
 	return d.store.Append(ctx, Daemons, AnyOffset, d.settings.Name, encoded)
 }
 
-func (d *Daemon) readMembers(ctx context.Context) error {
+// readMembers lists the daemons of the log's records. It reports whether the record under this daemon's name is that
+// of another process.
+func (d *Daemon) readMembers(ctx context.Context) (replaced bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readSlack)
 	defer cancel()
 	page, err := d.store.Newest(ctx, Daemons)
 	if err != nil {
-		return err
+		return false, err
 	}
 	listed := make([]hubs.Member, 0, len(page.Records))
 	for _, r := range page.Records {
@@ -231,26 +240,32 @@
 			d.logger.WithName("members").Info("Record invalid.", "Key", r.Key, "Offset", r.Offset)
 			continue
 		}
+		replaced = replaced || m.Name == d.settings.Name && m.Incarnation != d.incarnation
 		if d.clock.wallNow().Sub(m.At) <= memberTTL {
 			listed = append(listed, m)
 		}
 	}
 	d.listMembers(listed)
 	d.membersRead.Store(true)
-	return nil
+	return replaced, nil
 }
 
 // listMembers adds the daemons of the log's records, or of a peer's snapshot.
 func (d *Daemon) listMembers(listed []hubs.Member) {
 	now := d.clock.now()
 	added := 0
+	wall := d.clock.wallNow()
 	d.members.use(func(s *hubs.State) {
 		for _, m := range listed {
+			if !m.LeavesAt.IsZero() {
+				s.Leave(hubs.Leave{Name: m.Name, Incarnation: m.Incarnation, At: now.Add(m.LeavesAt.Sub(wall))}, now)
+			}
 			if s.List(m, now) {
 				added++
 			}
 		}
 	})
+	d.removeDeparted(now)
 	if added == 0 {
 		return
 	}
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -44,6 +44,10 @@
 		LoadsTo   uint32 `cbor:"36,keyasint,omitempty"`
 		// Referrals describe daemons that the sender has heard of.
 		Referrals []referral `cbor:"37,keyasint,omitempty"`
+		// Leaves are the planned ends of processes that the sender has heard of lately, its own included. Each costs
+		// about 70 bytes: at 390 daemons, a follower receives 140 B/s and a hub of 98 sends 14 KB/s for the 13 s in
+		// which a daemon stops, and nothing otherwise.
+		Leaves []leave `cbor:"44,keyasint,omitempty"`
 		// ReadAgeMS is the time since the last read of the endpoints that informs the sender,
 		// OwnReadAgeMS since its own.
 		ReadAgeMS    int64 `cbor:"22,keyasint"`
@@ -127,6 +131,14 @@
 		SeenAgeMS    int64   `cbor:"11,keyasint"`
 	}
 
+	// leave is the planned end of a process.
+	leave struct {
+		Name        string `cbor:"1,keyasint"`
+		Incarnation string `cbor:"2,keyasint"`
+		// InMS is the time until the process stops using its part of what the daemons share; 0 once it has.
+		InMS int64 `cbor:"3,keyasint,omitempty"`
+	}
+
 	// totals is a hub's report about the daemons of its totals or sums, and about its reads.
 	totals struct {
 		// Daemons is the number of daemons, the hub included.
@@ -219,6 +231,17 @@
 	}
 }
 
+// newLeave returns a leave for a message.
+func newLeave(l hubs.Leave, now time.Time) leave {
+	return leave{Name: l.Name, Incarnation: l.Incarnation, InMS: max(0, l.At.Sub(now).Milliseconds())}
+}
+
+// received returns the leave by the receiver's clock.
+func (l leave) received(now time.Time) hubs.Leave {
+	left := min(time.Duration(max(0, min(l.InMS, maxAge.Milliseconds())))*time.Millisecond, maxAge)
+	return hubs.Leave{Name: l.Name, Incarnation: l.Incarnation, At: now.Add(left)}
+}
+
 // newReferral returns the referral of a report.
 func newReferral(r hubs.Report, now time.Time) referral {
 	return referral{
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -73,6 +73,9 @@
 		// stopsAt is when a draining daemon ends all requests, in nanoseconds since its start; 0 if it does not
 		// drain. The time of day may jump meanwhile.
 		stopsAt atomic.Int64
+		// leavesAt is when a leaving daemon stops using its part of what the daemons share, in nanoseconds since its
+		// start; 0 if it does not leave.
+		leavesAt atomic.Int64
 		// ended is done once all requests must end; end does that.
 		ended context.Context
 		end   context.CancelFunc
@@ -251,6 +254,8 @@
 	acceptUntil := now.Add(min(drainAcceptTime, time.Duration(acceptFraction*float64(deadline.Sub(now)))))
 	d.logger.WithName("daemon").Info("Draining.", "Open", d.openRequests.Load(), "Connections", d.connections.Load(), "Until", deadline)
 	d.leader.resign()
+	d.announceLeave(deadline)
+	hasLeft := false
 	for d.clock.now().Before(deadline) {
 		if !d.closing.Load() && d.clock.now().After(acceptUntil) {
 			d.closing.Store(true)
@@ -258,6 +263,11 @@
 				s.SetKeepAlivesEnabled(false)
 			}
 		}
+		if !hasLeft && d.closing.Load() && d.openRequests.Load() == 0 {
+			// Every later request is refused.
+			hasLeft = true
+			d.announceLeave(d.clock.now())
+		}
 		quietSince := time.Unix(0, d.lastRequest.Load())
 		if d.openRequests.Load() == 0 && d.clock.now().Sub(quietSince) > drainIdleTime {
 			break
@@ -268,7 +278,11 @@
 		d.logger.WithName("daemon").Info("Ending requests.", "Open", open)
 	}
 	d.end()
+	// From here on no request uses anything.
+	var announcing sync.WaitGroup
+	announcing.Go(func() { d.announceLeave(d.clock.now()) })
 	shutDown(servers)
+	announcing.Wait()
 }
 
 // stopTime returns when a draining daemon ends all requests; zero if it is not draining.
@@ -301,6 +315,7 @@
 		d.publishChanges(d.tables.tick(d.clock.now()))
 		d.logPoison()
 		d.logRollouts()
+		d.removeDeparted(d.clock.now())
 		d.budget.resize(d.members.count())
 	})
 }
