--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -225,6 +225,10 @@
 	if result != notRun {
 		x.mayHaveRun = true
 	}
+	if result == broken {
+		// The answer of a request that ran may be lost. Of the requests at an endpoint that crashes, few wait to be run.
+		x.countUsage()
+	}
 	x.daemon.tables.recordAttempt(x.suspect, result, x.daemon.clock.now())
 	a.recordParts(result, x.daemon.clock.now())
 	a.recordUnanswered(result, x.daemon.clock.now())
@@ -498,6 +502,10 @@
 	}
 	now := x.daemon.clock.now()
 	x.daemon.tables.recordTiming(a.firstEventTiming(now, false), now)
+	if x.engine() == nil && buffered.status < http.StatusMultipleChoices {
+		// An endpoint that refuses or fails quickly is not fast.
+		x.daemon.tables.recordPlain(a.endpoint, a.picked, now.Sub(a.sentAt))
+	}
 	buffered.write(x.writer)
 	return delivered, nil
 }
--- a/entryd/relay/digest.go
+++ b/entryd/relay/digest.go
@@ -35,6 +35,8 @@
 	starting bool
 	outcomes map[string]outcomes
 	breaks   map[suspect.Key]int
+	// demand is the last one that the hub has received with this digest or before.
+	demand map[uint32]demandShare
 }
 
 // digest returns a message with this daemon's own loads, usage and outcomes. allCounts selects the
@@ -47,6 +49,8 @@
 	m.LoadsTo = math.MaxUint32
 	m.Poison = t.poisonReport(now)
 	m.Limits = t.limitReports(&t.digestLimits, now)
+	m.Observed = t.speeds.drain(t.speeds.own)
+	m.Demand = t.demandReports(digestKind, now)
 	m.Counts = newestWindows(t.usage.Own(), allCounts)
 	return m
 }
@@ -96,7 +100,7 @@
 	defer t.mutex.Unlock()
 	t.ownParts = append(t.ownParts, ownPart{
 		sequence: m.Sequence, loads: m.Loads, used: m.Used, starting: m.AgeMS < startupAge.Milliseconds(),
-		outcomes: m.Outcomes, breaks: m.Breaks,
+		outcomes: m.Outcomes, breaks: m.Breaks, demand: t.ownDemand,
 	})
 	if extra := len(t.ownParts) - keptDigests; extra > 0 {
 		t.ownParts = slices.Delete(t.ownParts, 0, extra)
@@ -122,6 +126,7 @@
 	p = t.applyPeer(p, m, known && p.incarnation == m.Incarnation, t.peerWork, now)
 	p.sequence = m.Sequence
 	t.peers[m.Daemon] = p
+	t.speeds.apply(m.Observed, true, now)
 	t.usage.Merge(m.Daemon, m.Incarnation, usageCounts(m.Counts))
 	if !t.followsHub {
 		t.quota.Update(quota.Merge{
@@ -140,6 +145,7 @@
 		return
 	}
 	t.usage.MergeGroup(m.DataCentre, usageCounts(m.Counts))
+	t.speeds.apply(m.Observed, false, now)
 	p, known := t.centres[m.DataCentre]
 	if known && p.incarnation != m.Daemon+m.Incarnation {
 		p.addCounted(t.pastUsedElsewhere)
@@ -147,6 +153,7 @@
 	same := known && p.incarnation == m.Daemon+m.Incarnation
 	m.Incarnation = m.Daemon + m.Incarnation
 	p = t.applyPeer(p, m, same, t.centreWork, now)
+	p.daemons = m.Totals.Daemons
 	t.centres[m.DataCentre] = p
 	if !t.followsHub {
 		t.quota.Update(quota.Merge{
@@ -170,6 +177,9 @@
 	if m.Limits != nil {
 		p.limits = t.applyLimits(m, now)
 	}
+	if m.Demand != nil {
+		p.demand, p.demandAt = readDemand(m.Demand, t.wall(now)), now
+	}
 	t.prefixTable.observe(m.Prefixes, m.Digest, now)
 	return p
 }
@@ -243,10 +253,14 @@
 	t.applySuspects(m, now)
 	t.applyPoison(m, now)
 	t.applyLimits(m, now)
+	t.speeds.applyHub(m)
 	t.prefixTable.observe(m.Prefixes, false, now)
 	if !known {
 		return
 	}
+	if m.Demand != nil {
+		t.hubState.demand, t.hubState.demandAt = without(readDemand(m.Demand, t.wall(now)), own.demand), now
+	}
 	t.quota.Update(quota.Merge{
 		Daemon: hubName, Incarnation: m.Daemon + m.Incarnation, Used: floats(m.Used), Recent: floats(m.Recent),
 		Daemons: max(m.Totals.Daemons-1, 1), Silent: m.Totals.Silent, SilentAt: silentAt, Now: now,
@@ -303,6 +317,7 @@
 	follows := t.followsHub
 	if follows {
 		t.followsHub, t.hub = false, ""
+		t.speeds.seed(now)
 		t.hubState = peerState{}
 		t.quota.Update(quota.Reset{Now: now})
 	}
@@ -438,10 +453,12 @@
 	m := t.sumOf(t.ownMessage(now), starting, t.pastUsed, t.peers, now)
 	m.Prefixes, m.Poison = t.prefixTable.drainCentre(), t.poisonReport(now, t.peers)
 	m.Limits = t.limitReports(&t.sumLimits, now, t.peers)
+	m.Demand = t.demandReports(sumKind, now, t.peers)
 	for service, work := range t.peerWork {
 		m.Work[service] += int64(work)
 	}
 	m.Counts = newestWindows(t.usage.OwnGroups(), allCounts)
+	m.Observed = t.speeds.drain(t.speeds.centre)
 	t.sumCursor = m.limitLoads(t.sumCursor)
 	return m
 }
@@ -455,6 +472,8 @@
 	m.Prefixes, m.Work = t.prefixTable.drainAll(), nil
 	m.Poison = t.poisonReport(now, t.peers, t.centres)
 	m.Limits = t.limitReports(&t.totalLimits, now, t.peers, t.centres)
+	t.speeds.fill(&m)
+	m.Demand = t.demandReports(totalsKind, now, t.peers, t.centres)
 	t.totalsCursor = m.limitLoads(t.totalsCursor)
 	return m
 }
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/decide/pace"
@@ -86,6 +87,18 @@
 		poisonChanges []poison.Command
 		// paces holds the observed speed of each service's engines.
 		paces map[string]*pace.State
+		// speeds holds the speeds of the endpoints.
+		speeds *endpointSpeeds
+		// demand is what callers ask of each service at this daemon. demandSentAt are the times of the last messages
+		// with demands by kind, ownDemand the demand in the last digest with one.
+		demand       map[string]*serviceDemand
+		demandSentAt map[messageKind]time.Time
+		ownDemand    map[uint32]demandShare
+		patience     admit.Patience
+		// daemons is the number of known daemons, wallOffset the difference between the time of day that the daemons
+		// agree on and this daemon's clock.
+		daemons    int
+		wallOffset time.Duration
 		// misdirected holds the endpoints whose address belongs to another endpoint, each with the
 		// time of its registration.
 		misdirected map[string]int64
@@ -97,7 +110,7 @@
 		receivedAt  time.Time
 		incarnation string
 		starting    bool
-		// daemons is the number of daemons that the hub knows.
+		// daemons is the number of daemons that the hub knows, or that the other data centre has.
 		daemons int
 		// sequence is the number of the last digest.
 		sequence int64
@@ -113,6 +126,9 @@
 		poison   poison.Evidence
 		// limits are those that the peer has heard of.
 		limits map[uint32]statedLimit
+		// demand is what the peer has last reported of its callers, at demandAt.
+		demand   map[uint32]demandShare
+		demandAt time.Time
 		// responses holds the times of responses to suspect requests.
 		responses map[suspect.Key]time.Time
 		// followUntil is when the daemon stops receiving totals unless it asks again.
@@ -127,6 +143,8 @@
 		sent bool
 		// source is the address of an endpoint that has cached a part of the prompt; empty for none.
 		source string
+		// work is the endpoint time of the request in seconds.
+		work float64
 	}
 )
 
@@ -167,7 +185,8 @@
 		work: map[string]float64{}, placed: map[string]float64{},
 		limits: map[uint32]statedLimit{}, ownLimits: map[uint32]statedLimit{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
-		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{},
+		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{}, speeds: newEndpointSpeeds(),
+		demand: map[string]*serviceDemand{}, demandSentAt: map[messageKind]time.Time{}, daemons: 1,
 	}
 }
 
@@ -274,6 +293,7 @@
 	t.health, _ = t.health.Update(health.Tick{Time: now})
 	t.prefixTable.expire(now)
 	t.updatePoison(poison.Tick{Now: now})
+	t.tickDemand(now)
 	return changes
 }
 
@@ -314,6 +334,7 @@
 		members = append(members, health.Member{Instance: e.ID, DataCentre: e.DataCentre, Routes: []string{e.Service}, Incarnation: e.StartedAtMS})
 	}
 	t.health, _ = t.health.Update(health.Listing{Time: now, Endpoints: members})
+	t.speeds.list(t.endpoints)
 }
 
 // removeGone removes an endpoint that the hub found gone.
@@ -420,6 +441,7 @@
 			ID: e.ID, Version: e.Version, DataCentre: e.DataCentre, Slots: e.Slots, Memory: memory,
 			Load: t.load(e.ID, loads), Cached: t.prefixTable.tokens(shortID(e.ID), parts, now),
 			Local: e.DataCentre == t.centre, Penalty: float64(status.Penalty.Milliseconds()),
+			Speed: t.speeds.factor(e),
 		}
 		if e.State != setup.Ready {
 			found.leaving = append(found.leaving, c)
@@ -528,6 +550,8 @@
 	service string
 	call    Call
 	target  time.Duration
+	// account is the name of the client account; empty without accounts.
+	account string
 	// tried holds the endpoints that must not get the call again.
 	tried map[string]bool
 	// only is the only endpoint that may get the call, although it was tried; empty for any other one.
@@ -572,6 +596,10 @@
 		}
 		t.prefixTable.place(endpoint.ID, r.call.Parts, now)
 	}
+	p.work = workSeconds(request, picked.Uncached, endpoint.Slots)
+	if len(r.tried) == 0 && r.only == "" {
+		t.serviceDemand(r.service).offered.Add(r.account, p.work, now)
+	}
 	t.own[endpoint.ID] = t.own[endpoint.ID].Plus(p.load)
 	t.quota.CountEndpoint(limitKey(endpoint.ID))
 	t.health, _ = t.health.Update(health.Sent{Time: now, Instance: endpoint.ID})
@@ -588,23 +616,39 @@
 	return s
 }
 
-// recordFirstToken records the time to the first token of a placed call, if the engine had nothing else
-// to compute as far as this daemon knows.
-func (t *tables) recordFirstToken(service string, picked choice.Picked, wait time.Duration) {
+// recordFirstToken records the time to the first token of a placed call. It tells the engine's speed if the engine had
+// nothing else to compute as far as this daemon knows.
+func (t *tables) recordFirstToken(endpoint setup.Endpoint, picked choice.Picked, wait time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.pace(endpoint.Service).RecordWait(pace.Wait{
+		Predicted: milliseconds(picked.Wait - picked.Extra()), Observed: wait, Speed: picked.Candidate.Speed,
+	})
 	load, slots := picked.Candidate.Load, picked.Candidate.Slots
 	if picked.Fetched > 0 || load.Reading > 0 || float64(load.Requests) > lightLoad*float64(slots) {
 		return
 	}
+	t.speeds.record(endpoint)(t.pace(endpoint.Service).RecordFirst(pace.First{
+		Tokens: picked.Uncached, Wait: wait - milliseconds(picked.Running()), Speed: picked.Candidate.Speed,
+	}))
+}
+
+// recordAnswer records the time of a response after its first event.
+func (t *tables) recordAnswer(endpoint setup.Endpoint, picked choice.Picked, tokens int, took time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.pace(service).RecordFirst(pace.First{Tokens: picked.Uncached, Wait: wait - milliseconds(picked.Running())})
+	t.speeds.record(endpoint)(t.pace(endpoint.Service).RecordAnswer(pace.Answer{Tokens: tokens, Took: took, Speed: picked.Candidate.Speed}))
 }
 
-// recordAnswer records the time of a response after its first event.
-func (t *tables) recordAnswer(service string, tokens int, took time.Duration) {
+// recordPlain records the time of a response of a plain service, if the endpoint had a free slot as far as this daemon
+// knows.
+func (t *tables) recordPlain(endpoint setup.Endpoint, picked choice.Picked, took time.Duration) {
+	if picked.Candidate.Load.Requests >= max(picked.Candidate.Slots, 1) {
+		return
+	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.pace(service).RecordAnswer(pace.Answer{Tokens: tokens, Took: took})
+	t.speeds.record(endpoint)(t.pace(endpoint.Service).RecordPlain(pace.Plain{Took: took, Speed: picked.Candidate.Speed}))
 }
 
 // choiceRequest returns the properties of a call that the choice of an endpoint uses.
