--- a/entryd/relay/digest.go
+++ b/entryd/relay/digest.go
@@ -298,13 +298,20 @@
 		}
 	}
 	for service, o := range p.outcomes {
-		if sum := m.Outcomes[service]; sum.Target == o.Target {
+		if sum, ok := m.Outcomes[service]; ok && sum.Target == o.Target {
 			sum.Good, sum.Bad, sum.Evidence = sum.Good-o.Good, sum.Bad-o.Bad, sum.Evidence.Minus(o.Evidence)
 			m.Outcomes[service] = sum
 		}
 	}
 	for key, count := range p.breaks {
-		if m.Breaks[key] -= count; m.Breaks[key] <= 0 {
+		// Totals without breaks are decoded as a nil map.
+		sum, ok := m.Breaks[key]
+		if !ok {
+			continue
+		}
+		if rest := sum - count; rest > 0 {
+			m.Breaks[key] = rest
+		} else {
 			delete(m.Breaks, key)
 		}
 	}
--- a/entryd/relay/digest_test.go
+++ b/entryd/relay/digest_test.go
@@ -193,3 +193,18 @@
 		t.Errorf("%d broken attempts are reported for a request with a later response", got)
 	}
 }
+
+// TestTotalsWithoutOwnPart guards against a daemon that crashes on totals which lack what its digest contributed, as those
+// of a hub that has dropped it.
+func TestTotalsWithoutOwnPart(t *testing.T) {
+	own := ownPart{
+		loads: map[uint32]load{1: {Requests: 1}}, used: map[string]int64{"counter": 1}, starting: true,
+		outcomes: map[string]outcomes{"pool": {}}, breaks: map[suspect.Key]int{1: 2},
+	}
+	own.subtractFrom(&message{})
+	partial := message{Breaks: map[suspect.Key]int{1: 5}}
+	own.subtractFrom(&partial)
+	if got := partial.Breaks[1]; got != 3 {
+		t.Errorf("%d breaks of others, want 3", got)
+	}
+}
