--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -37,7 +38,7 @@
 
 const (
 	dialTimeout = 700 * time.Millisecond
-	// defaultIdleTime is how long a connection is kept if the endpoint states no timeout.
+	// defaultIdleTime is how long a connection is kept at most, and if the endpoint states no timeout.
 	defaultIdleTime = 4 * time.Second
 	// keepAliveMargin is subtracted from a stated timeout for the transit time of the next request.
 	keepAliveMargin = 300 * time.Millisecond
@@ -130,6 +131,27 @@
 	delete(p.idle, address)
 }
 
+// closeUnusable closes the connections that have been idle for so long that get would not return them. Those to an
+// address that is gone would stay open otherwise: one in use while closeIdle is called is put back later.
+func (p *pool) closeUnusable(now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for address, idle := range p.idle {
+		kept := slices.DeleteFunc(idle, func(c *endpointConn) bool {
+			unusable := now.Sub(c.idleAt) >= defaultIdleTime || !now.Before(c.usableUntil)
+			if unusable {
+				_ = c.Close()
+			}
+			return unusable
+		})
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		} else {
+			p.idle[address] = kept
+		}
+	}
+}
+
 func (p *pool) close() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -319,6 +319,7 @@
 		d.logRollouts()
 		d.removeDeparted(d.clock.now())
 		d.logSpeeds()
+		d.pool.closeUnusable(time.Now())
 		d.budget.resize(d.members.count())
 	})
 }
