--- a/entryd/main.go
+++ b/entryd/main.go
@@ -28,6 +28,7 @@
 
 	"lentilstage.dev/domain/conf"
 	"lentilstage.dev/entryd/entry"
+	"lentilstage.dev/entryd/hangup"
 )
 
 type (
@@ -74,6 +75,7 @@
 
 // Execute runs the daemon until it receives a signal to stop.
 func (s *serveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	hangup.Restore()
 	settings, err := conf.Load[entry.Settings](s.settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "entryd:", err)
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -5,12 +5,11 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/go-logr/logr"
 	"github.com/google/subcommands"
 
+	"lentilstage.dev/entryd/hangup"
 	"lentilstage.dev/entryd/relay"
 	"lentilstage.dev/platform/adapt"
 )
@@ -71,12 +70,15 @@
 // function is called. Changed settings, such as addresses and limits, take effect only at the
 // next start.
 func (p *platformCommand) onReload(logger logr.Logger) (stop func()) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	done := make(chan struct{})
+	stopping, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
-		for range signals {
+		for {
+			select {
+			case <-stopping:
+				return
+			case <-hangup.Signals():
+			}
 			if _, err := adapt.Load(p.settings); err != nil {
 				logger.Info("Changed settings are invalid.", "Error", err.Error())
 				continue
@@ -85,8 +87,7 @@
 		}
 	}()
 	return func() {
-		signal.Stop(signals)
-		close(signals)
+		close(stopping)
 		<-done
 	}
 }
