--- a/entryd/relay/drain_test.go
+++ b/entryd/relay/drain_test.go
@@ -80,6 +80,25 @@
 	}
 }
 
+// TestQuietTimeIgnoresTimeOfDay guards against a drain that ends early because the time of day steps forwards: the time
+// of the last request must be one since the daemon's start, which has a monotonic reading.
+func TestQuietTimeIgnoresTimeOfDay(t *testing.T) {
+	now := time.Now()
+	d := newTestDaemon(t, &now)
+	d.startedAt = now
+	d.codec.ReadCall = func(*http.Request, time.Time) (Call, error) { return Call{}, errors.New("malformed") }
+	d.codec.RefusalHeader = func(Call, time.Time, time.Time) http.Header { return nil }
+	now = now.Add(time.Second)
+	d.serveCaller(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	if got := time.Duration(d.lastRequest.Load()); got != time.Second {
+		t.Errorf("the last request arrived %v after the start, want 1 s", got)
+	}
+	now = now.Add(2 * time.Second)
+	if got := d.quietTime(); got != 2*time.Second {
+		t.Errorf("quiet for %v, want 2 s", got)
+	}
+}
+
 // TestWithdrawnEndpointGetsNoBytes guards against a request to an endpoint that was taken out of use while the request
 // was being connected (DRAIN).
 func TestWithdrawnEndpointGetsNoBytes(t *testing.T) {
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -92,6 +92,7 @@
 		openRequests atomic.Int64
 		// connections is the number of callers' open connections.
 		connections atomic.Int64
+		// lastRequest is when the last request arrived, in nanoseconds since the daemon's start.
 		lastRequest atomic.Int64
 	}
 
@@ -249,7 +250,7 @@
 func (d *Daemon) drain(servers []*http.Server) {
 	d.draining.Store(true)
 	now := d.clock.now()
-	d.lastRequest.Store(now.UnixNano())
+	d.lastRequest.Store(int64(d.age(now)))
 	deadline := now.Add(d.settings.Limits.GracePeriod - drainReserve)
 	d.stopsAt.Store(int64(deadline.Sub(d.startedAt)))
 	acceptUntil := now.Add(min(drainAcceptTime, time.Duration(acceptFraction*float64(deadline.Sub(now)))))
@@ -269,8 +270,7 @@
 			hasLeft = true
 			d.announceLeave(d.clock.now())
 		}
-		quietSince := time.Unix(0, d.lastRequest.Load())
-		if d.openRequests.Load() == 0 && d.clock.now().Sub(quietSince) > drainIdleTime {
+		if d.openRequests.Load() == 0 && d.quietTime() > drainIdleTime {
 			break
 		}
 		time.Sleep(drainPollInterval)
@@ -286,6 +286,11 @@
 	announcing.Wait()
 }
 
+// quietTime returns the time since the last request arrived. Steps of the time of day don't affect it.
+func (d *Daemon) quietTime() time.Duration {
+	return d.age(d.clock.now()) - time.Duration(d.lastRequest.Load())
+}
+
 // stopTime returns when a draining daemon ends all requests; zero if it is not draining.
 func (d *Daemon) stopTime() time.Time {
 	if at := d.stopsAt.Load(); at != 0 {
--- a/entryd/relay/server.go
+++ b/entryd/relay/server.go
@@ -33,7 +33,7 @@
 	d.openRequests.Add(1)
 	defer d.openRequests.Add(-1)
 	now := d.clock.now()
-	d.lastRequest.Store(now.UnixNano())
+	d.lastRequest.Store(int64(d.age(now)))
 	if d.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
