--- a/entryd/relay/logs.go
+++ b/entryd/relay/logs.go
@@ -19,9 +19,13 @@
 	// lineWriter writes log lines in one goroutine. A line is dropped and counted if the queue is
 	// full or the rate is exceeded, so that no request waits for its log lines.
 	lineWriter struct {
-		lines chan []byte
-		done  chan struct{}
-		out   io.Writer
+		// lines is never closed, since lines may be written while the writer stops and afterwards. flushing is
+		// closed instead; isFlushed is set first.
+		lines     chan []byte
+		flushing  chan struct{}
+		isFlushed atomic.Bool
+		done      chan struct{}
+		out       io.Writer
 		// second is the current second of the rate limit, and remaining is how many lines it still
 		// admits.
 		second    atomic.Int64
@@ -47,9 +51,9 @@
 var droppedLines atomic.Int64
 
 // NewLogger returns a logger that writes JSON lines to the output and never blocks. The returned
-// function writes the queued lines and stops the logger.
+// function writes the queued lines and stops the logger, which drops and counts later lines.
 func NewLogger(out io.Writer, verbose bool) (logr.Logger, func()) {
-	w := &lineWriter{lines: make(chan []byte, queuedLines), done: make(chan struct{}), out: out}
+	w := &lineWriter{lines: make(chan []byte, queuedLines), flushing: make(chan struct{}), done: make(chan struct{}), out: out}
 	go w.run()
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
@@ -60,7 +64,9 @@
 	}
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.AddSync(w), level)
 	return zapr.NewLogger(zap.New(core)), func() {
-		close(w.lines)
+		if !w.isFlushed.Swap(true) {
+			close(w.flushing)
+		}
 		<-w.done
 	}
 }
@@ -71,7 +77,7 @@
 	if w.second.Swap(now) != now {
 		w.remaining.Store(linesPerSecond)
 	}
-	if w.remaining.Add(-1) < 0 {
+	if w.isFlushed.Load() || w.remaining.Add(-1) < 0 {
 		droppedLines.Add(1)
 		return len(line), nil
 	}
@@ -86,16 +92,29 @@
 func (w *lineWriter) run() {
 	defer close(w.done)
 	var batch []byte
-	for line := range w.lines {
-		batch = append(batch[:0], line...)
-		for len(w.lines) > 0 && len(batch) < 32<<10 {
-			batch = append(batch, <-w.lines...)
+	for {
+		select {
+		case line := <-w.lines:
+			batch = w.writeBatch(append(batch[:0], line...))
+		case <-w.flushing:
+			for len(w.lines) > 0 {
+				batch = w.writeBatch(batch[:0])
+			}
+			return
 		}
-		// There is nowhere to report a failed write.
-		_, _ = w.out.Write(batch)
 	}
 }
 
+// writeBatch writes lines and those in the queue, up to a limit, and returns the buffer for the next ones.
+func (w *lineWriter) writeBatch(batch []byte) []byte {
+	for len(w.lines) > 0 && len(batch) < 32<<10 {
+		batch = append(batch, <-w.lines...)
+	}
+	// There is nowhere to report a failed write.
+	_, _ = w.out.Write(batch)
+	return batch
+}
+
 // Write logs a message of the HTTP server.
 func (s serverLog) Write(line []byte) (int, error) {
 	s.logger.Info("Server message.", "Text", string(line))
