--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -74,6 +74,9 @@
 		// stopsAt is when a draining daemon ends all requests, in nanoseconds since its start; 0 if it does not
 		// drain. The time of day may jump meanwhile.
 		stopsAt atomic.Int64
+		// leavesAt is when a leaving daemon stops using its part of what the daemons share, in nanoseconds since its
+		// start; 0 if it does not leave.
+		leavesAt atomic.Int64
 		// ended is done once all requests must end; end does that.
 		ended context.Context
 		end   context.CancelFunc
@@ -89,6 +92,7 @@
 		openRequests atomic.Int64
 		// connections is the number of callers' open connections.
 		connections atomic.Int64
+		// lastRequest is when the last request arrived, in nanoseconds since the daemon's start.
 		lastRequest atomic.Int64
 	}
 
@@ -246,12 +250,14 @@
 func (d *Daemon) drain(servers []*http.Server) {
 	d.draining.Store(true)
 	now := d.clock.now()
-	d.lastRequest.Store(now.UnixNano())
+	d.lastRequest.Store(int64(d.age(now)))
 	deadline := now.Add(d.settings.Limits.GracePeriod - drainReserve)
 	d.stopsAt.Store(int64(deadline.Sub(d.startedAt)))
 	acceptUntil := now.Add(min(drainAcceptTime, time.Duration(acceptFraction*float64(deadline.Sub(now)))))
 	d.logger.WithName("daemon").Info("Draining.", "Open", d.openRequests.Load(), "Connections", d.connections.Load(), "Until", deadline)
 	d.leader.resign()
+	d.announceLeave(deadline)
+	hasLeft := false
 	for d.clock.now().Before(deadline) {
 		if !d.closing.Load() && d.clock.now().After(acceptUntil) {
 			d.closing.Store(true)
@@ -259,8 +265,12 @@
 				s.SetKeepAlivesEnabled(false)
 			}
 		}
-		quietSince := time.Unix(0, d.lastRequest.Load())
-		if d.openRequests.Load() == 0 && d.clock.now().Sub(quietSince) > drainIdleTime {
+		if !hasLeft && d.closing.Load() && d.openRequests.Load() == 0 {
+			// Every later request is refused.
+			hasLeft = true
+			d.announceLeave(d.clock.now())
+		}
+		if d.openRequests.Load() == 0 && d.quietTime() > drainIdleTime {
 			break
 		}
 		time.Sleep(drainPollInterval)
@@ -269,7 +279,16 @@
 		d.logger.WithName("daemon").Info("Ending requests.", "Open", open)
 	}
 	d.end()
+	// From here on no request uses anything.
+	var announcing sync.WaitGroup
+	announcing.Go(func() { d.announceLeave(d.clock.now()) })
 	shutDown(servers)
+	announcing.Wait()
+}
+
+// quietTime returns the time since the last request arrived. Steps of the time of day don't affect it.
+func (d *Daemon) quietTime() time.Duration {
+	return d.age(d.clock.now()) - time.Duration(d.lastRequest.Load())
 }
 
 // stopTime returns when a draining daemon ends all requests; zero if it is not draining.
@@ -303,8 +322,10 @@
 		d.publishChanges(d.tables.tick(d.clock.now()))
 		d.logPoison()
 		d.logRollouts()
+		d.removeDeparted(d.clock.now())
 		d.logSpeeds()
 		d.meters.setGauge("Endpoints.ColdNow", int64(d.tables.coldEndpoints()))
+		d.pool.closeUnusable(time.Now())
 		d.budget.resize(d.members.count())
 	})
 }
