relay, hubs, intake: the peers' port is bounded

Cause: datagrams of strangers with invented daemon names were kept, each with its loads and usage, and a compressed message could decode to 1 MB.

At most 512 daemons may be known from messages only, and the last messages of those that no record names take at most 2 MB. Messages have at most 256 KB decompressed, 8,192 elements in a list, 64 referrals. A process does not change its data centre; at most 64 other data centres count. The estimates of clocks of daemons that are gone are forgotten.

--- a/decide/hubs/hubs.go
+++ b/decide/hubs/hubs.go
@@ -79,6 +79,8 @@
 		names map[string][]string
 		// followers is the number of other known daemons of the own data centre.
 		followers int
+		// unlisted is the number of known daemons that no record names.
+		unlisted int
 		// heardAt is when the last message of any daemon arrived, probedAt when this daemon last
 		// introduced itself.
 		heardAt, probedAt time.Time
@@ -146,6 +148,9 @@
 	minReadSpan = time.Second
 	// memberTTL is how long a daemon is known without a record or a message.
 	memberTTL = 70 * time.Second
+	// maxUnlisted limits the daemons that are known from messages only: anyone can send messages under any number of
+	// names. A fleet of 295 machines that is replaced at once stays below it until its records are read.
+	maxUnlisted = 512
 	// standbys is the number of daemons of a data centre that a hub keeps informed, so that they can
 	// replace it at once.
 	standbys = 2
@@ -168,10 +173,26 @@
 // Self returns this daemon's own report.
 func (s *State) Self() Report { return s.self.Report }
 
+// Admits reports whether a daemon's messages may be used: it is known, or there is room for one more that no record
+// names. A process does not change its data centre.
+func (s *State) Admits(m Member) bool {
+	known, ok := s.known[m.Name]
+	if !ok {
+		return s.unlisted < maxUnlisted
+	}
+	return known.Incarnation != m.Incarnation || known.DataCentre == m.DataCentre
+}
+
+// IsListed reports whether a record names the daemon.
+func (s *State) IsListed(name string) bool {
+	known, ok := s.known[name]
+	return ok && !known.listedAt.IsZero()
+}
+
 // Observe records a message of a daemon and reports whether the sender is a new process. A process that has left
-// changes nothing.
+// changes nothing, nor does a daemon that is not admitted.
 func (s *State) Observe(from Report, now time.Time) bool {
-	if from.Name == s.self.Name || s.HasLeft(from.Name, from.Incarnation, now) {
+	if from.Name == s.self.Name || s.HasLeft(from.Name, from.Incarnation, now) || !s.Admits(from.Member) {
 		return false
 	}
 	known := s.entry(from.Member)
@@ -184,7 +205,7 @@
 
 // Refer records a referral to a daemon. An older one than what is known changes nothing.
 func (s *State) Refer(to Report, now time.Time) {
-	if to.Name == s.self.Name || to.SeenAt.After(now) || s.HasLeft(to.Name, to.Incarnation, now) {
+	if to.Name == s.self.Name || to.SeenAt.After(now) || s.HasLeft(to.Name, to.Incarnation, now) || !s.Admits(to.Member) {
 		return
 	}
 	known := s.entry(to.Member)
@@ -200,6 +221,7 @@
 		known = &entry{Report: Report{Member: m, Leaving: s.leaving(m)}}
 		s.known[m.Name] = known
 		s.names = nil
+		s.unlisted++
 		if m.DataCentre == s.self.DataCentre {
 			s.followers++
 		}
@@ -240,6 +262,9 @@
 	}
 	_, ok := s.known[record.Name]
 	known := s.entry(record)
+	if known.listedAt.IsZero() {
+		s.unlisted--
+	}
 	switch {
 	case !ok:
 		known.listedAt = now
--- a/decide/hubs/leave.go
+++ b/decide/hubs/leave.go
@@ -153,6 +153,9 @@
 func (s *State) remove(k *entry) {
 	delete(s.known, k.Name)
 	s.names, s.hubs = nil, nil
+	if k.listedAt.IsZero() {
+		s.unlisted--
+	}
 	if k.DataCentre == s.self.DataCentre {
 		s.followers--
 	}
--- a/entryd/relay/clock.go
+++ b/entryd/relay/clock.go
@@ -76,6 +76,13 @@
 	c.wallClock.offset = offsets[(len(offsets)-1)/2]
 }
 
+// forget removes the estimate of a peer that is gone.
+func (c clock) forget(peer string) {
+	c.wallClock.mutex.Lock()
+	defer c.wallClock.mutex.Unlock()
+	delete(c.wallClock.peers, peer)
+}
+
 // localNow returns the estimate of this instance alone, for its messages.
 func (c clock) localNow() time.Time {
 	c.wallClock.mutex.Lock()
--- a/entryd/relay/digest.go
+++ b/entryd/relay/digest.go
@@ -23,6 +23,8 @@
 	// countsInterval is the pause between messages with the counts of all usage windows. The messages
 	// between them contain the newest window only.
 	countsInterval = time.Second
+	// maxCentres limits the other data centres, whose names messages state.
+	maxCentres = 64
 	// centrePrefix begins the quota keys of other data centres.
 	centrePrefix = "centre/"
 )
@@ -147,6 +149,9 @@
 	t.usage.MergeGroup(m.DataCentre, usageCounts(m.Counts))
 	t.speeds.apply(m.Observed, false, now)
 	p, known := t.centres[m.DataCentre]
+	if !known && len(t.centres) >= maxCentres {
+		return
+	}
 	if known && p.incarnation != m.Daemon+m.Incarnation {
 		p.addCounted(t.pastUsedElsewhere)
 	}
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"lentilstage.dev/decide/hubs"
+	"lentilstage.dev/decide/intake"
 	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/domain/value"
@@ -33,6 +34,10 @@
 		sequence int64
 		// hub and reader are the names that were last logged.
 		hub, reader string
+		// senders bounds the datagrams that are decoded. strangers holds the size of the last datagram of each daemon
+		// that no record names; receive alone uses both.
+		senders   *intake.Senders
+		strangers map[string]int
 		// countsAt is when the counts of all usage windows were last sent.
 		countsAt time.Time
 		// flushes has an element for each call of flush. Its channel is closed once the messages are sent.
@@ -54,8 +59,18 @@
 	minCompressedBytes = 1200
 	// compressedMark precedes a compressed message. No CBOR value begins with it.
 	compressedMark = 0xff
-	// maxMessageBytes limits a decompressed message.
-	maxMessageBytes = 1 << 20
+	// maxMessageBytes limits a decompressed message. The largest have maxForwardedBytes of records, or
+	// maxChangesPerMessage endpoints.
+	maxMessageBytes = 256 << 10
+	// maxElements limits the elements of a list or a map in a message, maxNesting the depth: a short message of many
+	// empty elements takes much more memory once it is decoded.
+	maxElements = 8192
+	maxNesting  = 12
+	// maxReferrals limits the referrals in a message. A hub refers to those of the other data centres and its standbys.
+	maxReferrals = 64
+	// maxStrangerBytes limits the messages that are kept of daemons that no record names. Decoded, they take about ten
+	// times as much.
+	maxStrangerBytes = 2 << 20
 	// maxForwardedBytes limits the operators' records in a datagram.
 	maxForwardedBytes = 48 << 10
 	// maxChangesPerMessage limits the endpoints in a message; a record has some hundred bytes.
@@ -75,8 +90,23 @@
 	startupAge = 10 * time.Second
 )
 
+// decoding bounds what decoding a message takes.
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: maxNesting,
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
 func newGossip(d *Daemon) *gossip {
-	return &gossip{daemon: d, sequence: d.clock.localNow().UnixMilli(), flushes: make(chan chan struct{})}
+	return &gossip{
+		daemon: d, sequence: d.clock.localNow().UnixMilli(), flushes: make(chan chan struct{}),
+		senders: intake.NewSenders(d.clock.now()), strangers: map[string]int{},
+	}
 }
 
 // run exchanges messages until the context ends.
@@ -158,15 +188,58 @@
 			sleep(ctx, receiveRetryDelay)
 			continue
 		}
+		now := g.daemon.clock.now()
+		sender := from.String()
+		if !g.senders.Admit(sender, n, now) {
+			g.daemon.meters.count("Digests.OverRate")
+			continue
+		}
 		m, acknowledged, err := decodeDatagram(buffer[:n])
 		if err != nil {
 			g.daemon.meters.count("Digests.Malformed")
 			continue
 		}
+		if !g.admitDaemon(m, n) {
+			g.daemon.meters.count("Digests.Strangers")
+			continue
+		}
+		g.senders.Accept(sender, now)
 		g.handle(m, acknowledged, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String())
 	}
 }
 
+// admitDaemon reports whether there is room for the message of a daemon. Only those that no record names are bounded.
+func (g *gossip) admitDaemon(m message, size int) bool {
+	admitted, isListed := false, false
+	g.daemon.members.use(func(s *hubs.State) {
+		admitted, isListed = s.Admits(hubs.Member{Name: m.Daemon, Incarnation: m.Incarnation, DataCentre: m.DataCentre}), s.IsListed(m.Daemon)
+	})
+	if !admitted || isListed {
+		return admitted
+	}
+	sum := size
+	for name, bytes := range g.strangers {
+		if name != m.Daemon {
+			sum += bytes
+		}
+	}
+	if sum > maxStrangerBytes {
+		g.daemon.members.use(func(s *hubs.State) {
+			for name, bytes := range g.strangers {
+				if _, known := s.Member(name); name != m.Daemon && (!known || s.IsListed(name)) {
+					delete(g.strangers, name)
+					sum -= bytes
+				}
+			}
+		})
+	}
+	if sum > maxStrangerBytes {
+		return false
+	}
+	g.strangers[m.Daemon] = size
+	return true
+}
+
 // decodeDatagram returns the message in a datagram and the sequence number that it acknowledges.
 func decodeDatagram(data []byte) (message, int64, error) {
 	var m message
@@ -177,9 +250,12 @@
 	if err != nil {
 		return m, 0, err
 	}
-	if err := cbor.Unmarshal(body, &m); err != nil {
+	if err := decoding.Unmarshal(body, &m); err != nil {
 		return m, 0, eris.Wrap(err, "decode datagram")
 	}
+	if len(m.Referrals) > maxReferrals || len(m.Leaves) > maxReferrals {
+		return m, 0, eris.Errorf("message with %d referrals and %d leaves, %d at most", len(m.Referrals), len(m.Leaves), maxReferrals)
+	}
 	if m.Daemon == "" {
 		return m, 0, eris.New("datagram without a sender")
 	}
--- a/entryd/relay/leave.go
+++ b/entryd/relay/leave.go
@@ -72,6 +72,7 @@
 	})
 	for _, m := range gone {
 		d.tables.depart(m, remaining[m.DataCentre], now)
+		d.clock.forget(m.Name)
 		d.meters.count("Daemons.Left")
 		d.logger.WithName("members").Info("Daemon left.", "Daemon", m.Name, "Incarnation", m.Incarnation, "Daemons", d.members.count())
 	}
--- a/entryd/relay/members.go
+++ b/entryd/relay/members.go
@@ -200,6 +200,7 @@
 		d.members.use(func(s *hubs.State) { gone = s.Expire(now) })
 		for _, g := range gone {
 			d.tables.expire(g.Name, now)
+			d.clock.forget(g.Name)
 			d.logger.WithName("members").Info("Daemon expired.", "Daemon", g.Name)
 		}
 	}
