--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -324,6 +324,7 @@
 		d.logRollouts()
 		d.removeDeparted(d.clock.now())
 		d.logSpeeds()
+		d.meters.setGauge("Endpoints.ColdNow", int64(d.tables.coldEndpoints()))
 		d.pool.closeUnusable(time.Now())
 		d.budget.resize(d.members.count())
 	})
