--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -47,7 +47,7 @@
 		// Leaves are the planned ends of processes that the sender has heard of lately, its own included. Each costs
 		// about 70 bytes: at 390 daemons, a follower receives 140 B/s and a hub of 98 sends 14 KB/s for the 13 s in
 		// which a daemon stops, and nothing otherwise.
-		Leaves []leave `cbor:"60,keyasint,omitempty"`
+		Leaves []leave `cbor:"90,keyasint,omitempty"`
 		// ReadAgeMS is the time since the last read of the endpoints that informs the sender,
 		// OwnReadAgeMS since its own.
 		ReadAgeMS    int64 `cbor:"22,keyasint"`
