lsbench: compare choices of engines that differ in speed

It extends the replay of recorded loads by speeds and slow phases of engines, and by the fits and the exchange of observed speeds. The test holds the estimated speeds against one speed for all engines, the waits at each speed against their predictions, and equal engines against any change.

Run: go test ./lsbench, scripts/lint.

--- a/lsbench/engine.go
+++ b/lsbench/engine.go
@@ -15,10 +15,12 @@
 		spec       engineSpec
 		id         string
 		dataCentre string
-		removed    bool
-		stepping   bool
-		running    []*job
-		queue      []*job
+		// speed is the engine's speed as a multiple of that of its specification, now including a slow phase.
+		speed    float64
+		removed  bool
+		stepping bool
+		running  []*job
+		queue    []*job
 		// preparing holds the requests that are not queued yet, in the order of their arrival.
 		preparing []*job
 		// usedTokens is the memory reserved by running requests, cachedTokens that of cached
@@ -57,7 +59,7 @@
 
 func newEngine(t *timeline, spec engineSpec, id, dataCentre string) *engine {
 	return &engine{
-		timeline: t, spec: spec, id: id, dataCentre: dataCentre, recent: list.New(), cached: map[string]*list.Element{},
+		timeline: t, spec: spec, id: id, dataCentre: dataCentre, speed: 1, recent: list.New(), cached: map[string]*list.Element{},
 	}
 }
 
@@ -69,12 +71,11 @@
 		return
 	}
 	e.preparing = append(e.preparing, j)
-	e.after(fromMilliseconds(e.spec.FirstMS), func() {
+	e.after(fromMilliseconds(e.spec.FirstMS/e.speed), func() {
 		if e.removed {
 			return
 		}
-		// All requests are prepared for the same time, so the first one is j.
-		e.preparing = e.preparing[1:]
+		e.preparing = slices.DeleteFunc(e.preparing, func(o *job) bool { return o == j })
 		e.insert(j)
 	})
 }
@@ -114,7 +115,7 @@
 		budget -= read
 	}
 	ms := e.spec.StepMS + stepMSPerRequest*float64(len(e.running)) + float64(maxChunkTokens-budget)/e.spec.ReadPerMS
-	e.after(time.Duration(ms*float64(time.Millisecond)), e.finishStep)
+	e.after(time.Duration(ms/e.speed*float64(time.Millisecond)), e.finishStep)
 }
 
 // admit starts queued requests while slots and memory are free. It evicts cached prefixes to free memory.
--- a/lsbench/load.go
+++ b/lsbench/load.go
@@ -19,6 +19,10 @@
 		Engine   engineSpec
 		Arrivals []arrival
 		Changes  []endpointChange
+		// Speeds are the speeds of the endpoints as multiples of that of Engine, and Phases their slow phases. Recorded
+		// loads have neither.
+		Speeds map[string]float64
+		Phases slowPhases
 	}
 
 	// engineSpec is the stated performance of an engine.
--- a/lsbench/main.go
+++ b/lsbench/main.go
@@ -26,6 +26,7 @@
 	&recordCommand{},
 	&retriesCommand{},
 	&routingCommand{},
+	&speedsCommand{},
 }
 
 func main() {
--- a/lsbench/replay.go
+++ b/lsbench/replay.go
@@ -11,6 +11,7 @@
 
 	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
+	"lentilstage.dev/decide/pace"
 )
 
 type (
@@ -22,6 +23,9 @@
 		// publishes makes daemons publish to which endpoints they have sent shared prefixes; fetches
 		// lets engines fetch shared prefixes from each other.
 		publishes, fetches bool
+		// measures makes daemons fit the usual speed of the engines, estimates makes them also estimate each engine's
+		// speed and share it. knows gives them the true speeds.
+		measures, estimates, knows bool
 	}
 
 	// replayOutcome is the outcome of an arrival in the model.
@@ -33,6 +37,8 @@
 		attempts              int
 		// readTokens is the number of prompt tokens that engines have read for the request.
 		readTokens int
+		// endpoint is the endpoint of the last attempt.
+		endpoint string
 	}
 
 	// replayModel replays a load against simulated engines.
@@ -48,6 +54,8 @@
 		load        load
 		// unpublished holds the prefixes that were sent since the last digests.
 		unpublished []cachedPrefix
+		// speeds are the estimates of the daemons' hub.
+		speeds *speedSharing
 	}
 
 	// replayDaemon is a daemon's view of the load: its own placements, and those of the other
@@ -57,6 +65,9 @@
 		own    map[string]choice.Load
 		others map[string]choice.Load
 		cached map[cachedPrefix]time.Time
+		fit    *pace.State
+		// observed is what the daemon has observed of the engines' speeds since its last digest.
+		observed map[uint32]pace.Tally
 	}
 
 	// cachedPrefix identifies a session's shared prefix at an endpoint.
@@ -180,6 +191,7 @@
 	m := &replayModel{
 		timeline: newTimeline(), policy: policy, random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{},
 		daemons: map[string]*replayDaemon{}, totals: map[string]choice.Load{}, results: make([]replayOutcome, len(l.Arrivals)), load: l,
+		speeds: newSpeedSharing(),
 	}
 	for _, c := range l.Changes {
 		m.after(fromMilliseconds(c.At), func() { m.applyChange(c) })
@@ -188,6 +200,7 @@
 		if m.daemons[a.Daemon] == nil {
 			m.daemons[a.Daemon] = &replayDaemon{
 				name: a.Daemon, own: map[string]choice.Load{}, others: map[string]choice.Load{}, cached: map[cachedPrefix]time.Time{},
+				fit: pace.New(), observed: map[uint32]pace.Tally{},
 			}
 		}
 		m.results[i].firstEvent = -1
@@ -195,6 +208,9 @@
 	}
 	interval := digestInterval * time.Duration(max(1, len(m.daemons)/digestBaseDaemons))
 	m.every(interval, func() { m.sendDigests(interval / 2) })
+	if policy.estimates {
+		m.every(compareInterval, m.compareSpeeds)
+	}
 	last := l.Arrivals[len(l.Arrivals)-1]
 	m.runUntil(fromMilliseconds(last.At+float64(last.Left)) + time.Second)
 	return m.results
@@ -207,6 +223,7 @@
 func (m *replayModel) applyChange(c endpointChange) {
 	if c.Ready {
 		m.engines[c.Endpoint] = newEngine(m.timeline, m.load.Engine, c.Endpoint, c.DataCentre)
+		m.varySpeed(m.engines[c.Endpoint])
 		m.endpointIDs = append(m.endpointIDs, c.Endpoint)
 		return
 	}
@@ -235,6 +252,7 @@
 		}
 		m.after(delay, func() { d.others = others })
 	}
+	m.collectSpeeds()
 	if !m.policy.publishes {
 		return
 	}
@@ -255,6 +273,9 @@
 		Session: a.Session, Prompt: a.Prompt, Shared: a.Shared, Answer: max(a.Answer, 1), Model: true,
 		Target: float64(a.Target),
 	}
+	if m.policy.measures {
+		request.Pace = d.fit.Estimate()
+	}
 	if m.policy.fetches {
 		request.FetchPerMS = fetchTokensPerMS
 	}
@@ -271,7 +292,7 @@
 		return
 	}
 	m.results[i].attempts++
-	m.results[i].predicted = picked.Wait
+	m.results[i].predicted, m.results[i].endpoint = picked.Wait, picked.Candidate.ID
 	m.enqueue(i, d, m.engines[picked.Candidate.ID], request, picked)
 }
 
@@ -285,6 +306,7 @@
 	}
 	placed := choice.Load{Requests: 1, Reading: float64(picked.Uncached), Memory: float64(request.Prompt + request.Answer)}
 	m.addLoad(d, e.id, placed)
+	sentAt, firstAt := m.now, time.Time{}
 	e.enqueue(&job{
 		source: m.engines[picked.Source], onRead: func(tokens int) { m.results[i].readTokens += tokens },
 		session: a.Session, prompt: a.Prompt, shared: a.Shared, answer: request.Answer, rank: a.Rank,
@@ -292,9 +314,14 @@
 			m.addLoad(d, e.id, choice.Load{Reading: -placed.Reading})
 			placed.Reading = 0
 			m.results[i].firstEvent = float64(m.elapsed().Microseconds())/1000 - a.At
+			firstAt = m.now
+			m.recordFirst(d, picked, firstAt.Sub(sentAt))
 		},
 		onDone: func() {
 			m.addLoad(d, e.id, choice.Load{}.Minus(placed))
+			if !firstAt.IsZero() && !e.removed {
+				m.recordAnswer(d, picked, request.Answer-1, m.now.Sub(firstAt))
+			}
 			if m.results[i].firstEvent < 0 && m.results[i].attempts < maxAttempts {
 				m.arrive(i)
 			}
@@ -312,6 +339,7 @@
 		if a.Session != "" && m.now.Before(d.cached[cachedPrefix{id, a.Session}]) {
 			c.Cached = a.Shared
 		}
+		c.Speed = m.speedOf(id)
 		all = append(all, c)
 	}
 	return all
