scale, relay: capacity in units of speed, a shorter hold where speeds differ

A plan counted endpoints, so that slow ones were expected to do as much as fast ones. If the endpoints of a service differ in speed, the demand is the engine time at the usual speed, the capacity of ready endpoints is the sum of their speeds, and a new one is expected at their mean speed. The demand then falls with the boot time, and more slowly only as far as it varies, instead of over 15 s: engine seconds are the largest cost there. Deployments with equal endpoints order as before; the tests' orders for them are unchanged.

The lease holder logs the share of the ordered engine time that was used in the last 10 s for each service ("Engine time used.") and has it as a gauge.

Run: go test ./decide/... ./entryd/relay ./lsbench, scripts/lint.

--- a/decide/pace/speed.go
+++ b/decide/pace/speed.go
@@ -191,6 +191,18 @@
 	return math.Exp(c.Logs[key])
 }
 
+// MeanSpeed returns the mean of the known speeds, as multiples of the usual one, and 1 if none is known.
+func (c Comparison) MeanSpeed() float64 {
+	if len(c.Logs) == 0 {
+		return 1
+	}
+	sum := 0.0
+	for _, logarithm := range c.Logs {
+		sum += math.Exp(logarithm)
+	}
+	return sum / float64(len(c.Logs))
+}
+
 // Quantize returns a logarithm in whole steps of LogStep, within the bounds.
 func Quantize(logarithm float64) float64 {
 	return math.Round(clamp(logarithm, -MaxLog, MaxLog)/LogStep) * LogStep
--- a/decide/scale/scale.go
+++ b/decide/scale/scale.go
@@ -56,14 +56,19 @@
 		Scaling setup.Scaling
 		// Ready is the number of endpoints that accept requests.
 		Ready map[Kind]int
+		// Speeds are the sums of the speeds of the ready endpoints, as multiples of the usual speed. It is nil if the
+		// endpoints don't differ.
+		Speeds map[Kind]float64
 		// DiscoveryComplete says that there was enough time to discover all endpoints. Without it,
 		// the plan has no orders.
 		DiscoveryComplete bool
-		// Demand is the number of endpoints that the requests keep fully busy. It is negative
-		// while unknown.
+		// Demand is the number of endpoints of the usual speed that the requests keep fully busy. It is
+		// negative while unknown.
 		Demand float64
-		State  State
-		Now    time.Time
+		// Hold is the time over which the initial fleet is reduced; 0 stands for fallTimeConstant.
+		Hold  time.Duration
+		State State
+		Now   time.Time
 	}
 
 	// Plan has the orders to send and the state to keep.
@@ -149,7 +154,7 @@
 			occupied[c] = max(occupied[c], reclaimable[kind])
 		}
 		if !reclaimableUnavailable {
-			usableReclaimable += min(v.Ready[kind], reclaimable[kind])
+			usableReclaimable += v.capacity(kind, min(v.Ready[kind], reclaimable[kind]))
 		}
 	}
 	want := v.placeOnDemand(centres, max(p.TargetOnDemand, p.TargetFallback-usableReclaimable), occupied)
@@ -187,7 +192,11 @@
 		if state.demandKnownAt.IsZero() {
 			state.demandKnownAt = v.Now
 		}
-		demand = max(v.Demand, demand*math.Exp(-v.Now.Sub(state.demandKnownAt).Seconds()/fallTimeConstant.Seconds()))
+		hold := v.Hold
+		if hold <= 0 {
+			hold = fallTimeConstant
+		}
+		demand = max(v.Demand/v.MeanSpeed(), demand*math.Exp(-v.Now.Sub(state.demandKnownAt).Seconds()/hold.Seconds()))
 	}
 	scaled := func(factor float64) int { return int(math.Ceil(demand * factor)) }
 	p.TargetTotal, p.TargetOnDemand, p.TargetFallback = scaled(totalFactor), scaled(onDemandFactor), scaled(fallbackFactor)
@@ -200,6 +209,36 @@
 	state.targetTotal, state.targetOnDemand, state.targetFallback = p.TargetTotal, p.TargetOnDemand, p.TargetFallback
 }
 
+// MeanSpeed returns the mean speed of the ready endpoints, as a multiple of the usual speed. A new endpoint is expected to
+// have it, and the targets are numbers of such endpoints.
+func (v View) MeanSpeed() float64 {
+	speeds, count := 0.0, 0
+	for kind, ready := range v.Ready {
+		speeds, count = speeds+v.Speeds[kind], count+ready
+	}
+	if v.Speeds == nil || count == 0 || speeds <= 0 {
+		return 1
+	}
+	return speeds / float64(count)
+}
+
+// capacity returns the capacity of some ready endpoints of a kind as a number of endpoints of the mean speed.
+func (v View) capacity(kind Kind, count int) int {
+	if v.Speeds == nil || v.Ready[kind] == 0 {
+		return count
+	}
+	return int(float64(count) * v.Speeds[kind] / float64(v.Ready[kind]) / v.MeanSpeed())
+}
+
+// Ordered returns the number of endpoints that are ready or ordered.
+func (v View) Ordered() int {
+	ordered := 0
+	for _, kind := range allKinds(slices.Sorted(maps.Keys(v.Scaling.Prices))) {
+		ordered += max(v.Ready[kind], v.State.lastOrders[kind].count)
+	}
+	return ordered
+}
+
 // reclaimableUnavailable reports whether an order of reclaimable endpoints was refused recently.
 func (v View) reclaimableUnavailable() bool {
 	for kind, o := range v.State.lastOrders {
--- a/decide/scale/scale_test.go
+++ b/decide/scale/scale_test.go
@@ -28,6 +28,9 @@
 		Firm        map[string]int `yaml:"Firm"`
 		Reclaimable map[string]int `yaml:"Reclaimable"`
 		Demand      float64        `yaml:"Demand"`
+		// FirmSpeeds and ReclaimableSpeeds are the sums of their speeds, if the endpoints differ.
+		FirmSpeeds        map[string]float64 `yaml:"FirmSpeeds"`
+		ReclaimableSpeeds map[string]float64 `yaml:"ReclaimableSpeeds"`
 		// Refused are the kinds whose orders are refused.
 		Refused []string `yaml:"Refused"`
 		Want    []string `yaml:"Want"`
@@ -55,7 +58,7 @@
 		for c, count := range step.Reclaimable {
 			ready[Kind{c, true}] = count
 		}
-		plan := Make(View{Scaling: scaling, Ready: ready, Demand: step.Demand, State: state, DiscoveryComplete: step.At > 2, Now: now})
+		plan := Make(View{Scaling: scaling, Ready: ready, Speeds: step.speeds(), Demand: step.Demand, State: state, DiscoveryComplete: step.At > 2, Now: now})
 		state = plan.State
 		var got []string
 		for _, o := range plan.Orders {
@@ -76,6 +79,79 @@
 	}
 }
 
+func (s step) speeds() map[Kind]float64 {
+	if s.FirmSpeeds == nil && s.ReclaimableSpeeds == nil {
+		return nil
+	}
+	speeds := map[Kind]float64{}
+	for c, sum := range s.FirmSpeeds {
+		speeds[Kind{c, false}] = sum
+	}
+	for c, sum := range s.ReclaimableSpeeds {
+		speeds[Kind{c, true}] = sum
+	}
+	return speeds
+}
+
+// TestHold guards against capacity that is held for longer than it takes to come back, and against releases in each lull
+// of a demand that varies.
+func TestHold(t *testing.T) {
+	const boot = 4 * time.Second
+	fall := func(boot time.Duration, swing float64) (after, hold float64) {
+		now := time.Unix(1000, 0)
+		d, work := Demand{}.Holding(boot), 0.0
+		for i := range 100 {
+			rate := 20.0
+			if i >= 75 {
+				rate = 10
+			}
+			now = now.Add(400 * time.Millisecond)
+			work += rate * (1 + swing*float64(1-2*(i%2))) * 0.4
+			d = d.With(work, now)
+		}
+		return d.Endpoints(), d.Hold(400 * time.Millisecond).Seconds()
+	}
+	if usual, _ := fall(0, 0.1); usual < 14 {
+		t.Errorf("demand %.1f 10 s after it fell to 10, want the usual hold", usual)
+	}
+	steady, steadyHold := fall(boot, 0.02)
+	if steady > 11.5 || steadyHold < 4 || steadyHold > 5 {
+		t.Errorf("demand %.1f 10 s after it fell to 10, with a hold of %.1f s", steady, steadyHold)
+	}
+	varying, varyingHold := fall(boot, 0.3)
+	if varying < steady+1 || varyingHold < steadyHold+2 || varyingHold > fallTimeConstant.Seconds() {
+		t.Errorf("varying demand %.1f 10 s after it fell to 10, with a hold of %.1f s", varying, varyingHold)
+	}
+}
+
+// TestShare guards against a share that counts work from before the window, or of another set of daemons.
+func TestShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var s Share
+	work := 0.0
+	run := func(seconds, rate, ordered float64) (float64, float64, bool) {
+		for range int(seconds * 2.5) {
+			now = now.Add(400 * time.Millisecond)
+			work += rate * 0.4
+			s = s.With(work, ordered, now)
+		}
+		return s.Seconds()
+	}
+	if _, _, known := run(8, 5, 10); known {
+		t.Error("a share is known after 8 s")
+	}
+	if used, ordered, known := run(8, 5, 10); !known || used/ordered < 0.49 || used/ordered > 0.51 || ordered > 105 {
+		t.Errorf("used %.1f of %.1f s, want half of 100", used, ordered)
+	}
+	if used, ordered, _ := run(12, 2, 10); used/ordered < 0.19 || used/ordered > 0.21 {
+		t.Errorf("used %.1f of %.1f s after 12 s at 2 of 10", used, ordered)
+	}
+	work = 1
+	if _, _, known := run(4, 2, 10); known {
+		t.Error("a share is known although the total of the work was reset")
+	}
+}
+
 // TestDemand guards against a demand that follows a peak too late or falls in each lull.
 func TestDemand(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -22,8 +22,13 @@
 
 // serviceState is the planner's state for one service.
 type serviceState struct {
-	demand       scale.Demand
-	ready        map[scale.Kind]int
+	demand scale.Demand
+	ready  map[scale.Kind]int
+	// speeds are the sums of the speeds of the ready endpoints; nil if they don't differ.
+	speeds map[scale.Kind]float64
+	// share is the part of the ordered engine time that requests use, loggedAt when it was last logged.
+	share        scale.Share
+	loggedAt     time.Time
 	orderHistory scale.State
 	// inheritedDemand is the demand that the previous lease holder recorded; 0 if there is none.
 	inheritedDemand float64
@@ -37,6 +42,8 @@
 	// settleTime is how long it may take until all endpoints are known: they renew their
 	// registrations about once a second, and some do so only seconds after the daemons start.
 	settleTime = 3 * time.Second
+	// shareInterval is the pause between log lines with the share of the ordered engine time that was used.
+	shareInterval = 10 * time.Second
 	// sharedTokenMS is the engine time per generated token, in milliseconds, while other requests
 	// share the step: a step of a busy batch of 15 takes about 3 ms.
 	sharedTokenMS = 0.2
@@ -134,7 +141,14 @@
 		}
 		var work float64
 		p.ready, work, p.limited = d.tables.serviceState(name, now)
-		p.demand = p.demand.With(work, now)
+		p.speeds = d.tables.kindSpeeds(name, now)
+		bootTime := time.Duration(0)
+		if p.speeds != nil {
+			bootTime = service.Scaling.BootTime
+		}
+		p.demand = p.demand.Holding(bootTime).With(work, now)
+		view := p.view(*service.Scaling, now)
+		p.share = p.share.With(work, float64(view.Ordered())*view.MeanSpeed(), now)
 	}
 	return true
 }
@@ -148,10 +162,10 @@
 		if service.Scaling == nil || p == nil {
 			continue
 		}
-		plan := scale.Make(scale.View{
-			Scaling: *service.Scaling, Ready: p.ready, Demand: p.demandWithLimits(), State: p.orderHistory, Now: now,
-			DiscoveryComplete: d.tables.settled(now),
-		})
+		view := p.view(*service.Scaling, now)
+		view.DiscoveryComplete = d.tables.settled(now)
+		plan := scale.Make(view)
+		c.reportShare(name, p, view)
 		p.orderHistory = plan.State
 		for _, o := range plan.Orders {
 			p.orderHistory = c.sendOrder(ctx, name, o, plan, p)
@@ -159,6 +173,29 @@
 	}
 }
 
+// view returns the input of a plan.
+func (p *serviceState) view(scaling setup.Scaling, now time.Time) scale.View {
+	return scale.View{
+		Scaling: scaling, Ready: p.ready, Speeds: p.speeds, Demand: p.demandWithLimits(), Hold: p.demand.Hold(planInterval),
+		State: p.orderHistory, Now: now,
+	}
+}
+
+// reportShare sets the gauge of the share of the ordered engine time that was used, and logs it now and then.
+func (c *capacityPlanner) reportShare(service string, p *serviceState, view scale.View) {
+	used, ordered, known := p.share.Seconds()
+	if !known || ordered <= 0 {
+		return
+	}
+	c.daemon.meters.setGauge("EngineTime.UsedPercent."+service, int64(math.Round(100*used/ordered)))
+	if view.Now.Sub(p.loggedAt) < shareInterval {
+		return
+	}
+	p.loggedAt = view.Now
+	c.daemon.leader.log("Engine time used.", "Service", service, "Share", round(used/ordered), "UsedSeconds", round(used),
+		"OrderedSeconds", round(ordered), "MeanSpeed", round(view.MeanSpeed()), "HoldMilliseconds", view.Hold.Milliseconds())
+}
+
 // sendOrder sends an order and returns the order history with it.
 func (c *capacityPlanner) sendOrder(ctx context.Context, service string, o scale.Order, plan scale.Plan, p *serviceState) scale.State {
 	d := c.daemon
@@ -202,6 +239,31 @@
 	return ready, work, t.limitedCapacity(service)
 }
 
+// kindSpeeds returns the sums of the speeds of a service's ready endpoints by kind, as multiples of the usual speed, or nil
+// if they don't differ. Endpoints whose speed is not known count with the mean of the others.
+func (t *tables) kindSpeeds(service string, now time.Time) map[scale.Kind]float64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.refresh(now)
+	compared := t.speeds.compared[service]
+	if !compared.Differ {
+		return nil
+	}
+	mean := compared.MeanSpeed()
+	sums := map[scale.Kind]float64{}
+	for _, e := range t.endpoints {
+		if e.Service != service || e.State != setup.Ready {
+			continue
+		}
+		speed := mean
+		if _, known := compared.Logs[t.speeds.keys[e.ID]]; known {
+			speed = t.speeds.factor(e)
+		}
+		sums[scale.Kind{DataCentre: e.DataCentre, Reclaimable: e.Reclaimable}] += speed
+	}
+	return sums
+}
+
 // settled reports whether all live endpoints are known, by the time since they were first listed.
 func (t *tables) settled(now time.Time) bool {
 	t.mutex.Lock()
--- a/entryd/relay/speeds_test.go
+++ b/entryd/relay/speeds_test.go
@@ -11,6 +11,7 @@
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/hubs"
 	"lentilstage.dev/decide/pace"
+	"lentilstage.dev/decide/scale"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -230,3 +231,25 @@
 		t.Errorf("observed %d speeds with a mean logarithm of %.2f, want some of 0", got.Count, got.Mean())
 	}
 }
+
+// TestKindSpeeds guards against capacity that counts slow endpoints as usual ones, and against a new endpoint that counts
+// as one of the usual speed among faster ones.
+func TestKindSpeeds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newSpeedTables("d", "a", 4, 1, now)
+	if got := d.kindSpeeds("pool", now); got != nil {
+		t.Errorf("speeds %v of endpoints that don't differ", got)
+	}
+	d.followsHub = true
+	m := message{SpeedsTo: math.MaxUint32}
+	for i, logarithm := range []float64{-0.5, 0.5, 0.5} {
+		m.Speeds = append(m.Speeds, encodeLog(speedKey(speedEndpoint(i, 1)), logarithm)...)
+	}
+	d.speeds.applyHub(m)
+	now = now.Add(time.Second)
+	d.updateSpeeds(now)
+	known := math.Exp(-0.5) + 2*math.Exp(0.5)
+	if got, want := d.kindSpeeds("pool", now)[scale.Kind{}], known*4/3; math.Abs(got-want) > 1e-6 {
+		t.Errorf("the speeds add up to %.3f, want %.3f", got, want)
+	}
+}
