--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -15,6 +15,7 @@
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -35,6 +36,8 @@
 		// began reports whether the endpoint has begun its response: a stream with its first event, another
 		// response with its head.
 		began bool
+		// firstSpeed is the logarithm of the speed that the first event has shown.
+		firstSpeed value.Option[float64]
 		// reply is what the head of the response says; its zero value until the head was read.
 		reply Reply
 		// writeResult receives the result of a write that runs while the response is read.
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/decide/pace"
@@ -88,6 +89,16 @@
 		paces map[string]*pace.State
 		// speeds holds the speeds of the endpoints.
 		speeds *endpointSpeeds
+		// demand is what callers ask of each service at this daemon. demandSentAt are the times of the last messages
+		// with demands by kind, ownDemand the demand in the last digest with one.
+		demand       map[string]*serviceDemand
+		demandSentAt map[messageKind]time.Time
+		ownDemand    map[uint32]demandShare
+		patience     admit.Patience
+		// daemons is the number of known daemons, wallOffset the difference between the time of day that the daemons
+		// agree on and this daemon's clock.
+		daemons    int
+		wallOffset time.Duration
 		// misdirected holds the endpoints whose address belongs to another endpoint, each with the
 		// time of its registration.
 		misdirected map[string]int64
@@ -99,7 +110,7 @@
 		receivedAt  time.Time
 		incarnation string
 		starting    bool
-		// daemons is the number of daemons that the hub knows.
+		// daemons is the number of daemons that the hub knows, or that the other data centre has.
 		daemons int
 		// sequence is the number of the last digest.
 		sequence int64
@@ -115,6 +126,9 @@
 		poison   poison.Evidence
 		// limits are those that the peer has heard of.
 		limits map[uint32]statedLimit
+		// demand is what the peer has last reported of its callers, at demandAt.
+		demand   map[uint32]demandShare
+		demandAt time.Time
 		// responses holds the times of responses to suspect requests.
 		responses map[suspect.Key]time.Time
 		// followUntil is when the daemon stops receiving totals unless it asks again.
@@ -129,6 +143,8 @@
 		sent bool
 		// source is the address of an endpoint that has cached a part of the prompt; empty for none.
 		source string
+		// work is the endpoint time of the request in seconds.
+		work float64
 	}
 )
 
@@ -170,6 +186,7 @@
 		limits: map[uint32]statedLimit{}, ownLimits: map[uint32]statedLimit{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{}, speeds: newEndpointSpeeds(),
+		demand: map[string]*serviceDemand{}, demandSentAt: map[messageKind]time.Time{}, daemons: 1,
 	}
 }
 
@@ -276,6 +293,7 @@
 	t.health, _ = t.health.Update(health.Tick{Time: now})
 	t.prefixTable.expire(now)
 	t.updatePoison(poison.Tick{Now: now})
+	t.tickDemand(now)
 	return changes
 }
 
@@ -532,6 +550,8 @@
 	service string
 	call    Call
 	target  time.Duration
+	// account is the name of the client account; empty without accounts.
+	account string
 	// tried holds the endpoints that must not get the call again.
 	tried map[string]bool
 	// only is the only endpoint that may get the call, although it was tried; empty for any other one.
@@ -576,6 +596,10 @@
 		}
 		t.prefixTable.place(endpoint.ID, r.call.Parts, now)
 	}
+	p.work = workSeconds(request, picked.Uncached, endpoint.Slots)
+	if len(r.tried) == 0 && r.only == "" {
+		t.serviceDemand(r.service).offered.Add(r.account, p.work, now)
+	}
 	t.own[endpoint.ID] = t.own[endpoint.ID].Plus(p.load)
 	t.quota.CountEndpoint(limitKey(endpoint.ID))
 	t.health, _ = t.health.Update(health.Sent{Time: now, Instance: endpoint.ID})
@@ -592,9 +616,9 @@
 	return s
 }
 
-// recordFirstToken records the time to the first token of a placed call. It tells the engine's speed if the engine had
-// nothing else to compute as far as this daemon knows.
-func (t *tables) recordFirstToken(endpoint setup.Endpoint, picked choice.Picked, wait time.Duration) {
+// recordFirstToken records the time to the first token of a placed call. It returns the speed that the time shows, if the
+// engine had nothing else to compute as far as this daemon knows.
+func (t *tables) recordFirstToken(endpoint setup.Endpoint, picked choice.Picked, wait time.Duration) value.Option[float64] {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.pace(endpoint.Service).RecordWait(pace.Wait{
@@ -602,17 +626,23 @@
 	})
 	load, slots := picked.Candidate.Load, picked.Candidate.Slots
 	if picked.Fetched > 0 || load.Reading > 0 || float64(load.Requests) > lightLoad*float64(slots) {
-		return
+		return value.None[float64]()
 	}
-	t.speeds.record(endpoint)(t.pace(endpoint.Service).RecordFirst(pace.First{
+	observed, known := t.pace(endpoint.Service).RecordFirst(pace.First{
 		Tokens: picked.Uncached, Wait: wait - milliseconds(picked.Running()), Speed: picked.Candidate.Speed,
-	}))
+	})
+	if !known {
+		return value.None[float64]()
+	}
+	return value.Some(observed)
 }
 
-// recordAnswer records the time of a response after its first event.
-func (t *tables) recordAnswer(endpoint setup.Endpoint, picked choice.Picked, tokens int, took time.Duration) {
+// recordAnswer records the time of a complete response after its first event, and the speed that its first event has
+// shown. An endpoint that sends a first event at once and then fails is not fast.
+func (t *tables) recordAnswer(endpoint setup.Endpoint, picked choice.Picked, first value.Option[float64], tokens int, took time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.speeds.record(endpoint)(first.Get())
 	t.speeds.record(endpoint)(t.pace(endpoint.Service).RecordAnswer(pace.Answer{Tokens: tokens, Took: took, Speed: picked.Candidate.Speed}))
 }
 
--- a/lsbench/engine.go
+++ b/lsbench/engine.go
@@ -15,12 +15,10 @@
 		spec       engineSpec
 		id         string
 		dataCentre string
-		// speed is the engine's speed as a multiple of that of its specification, now including a slow phase.
-		speed    float64
-		removed  bool
-		stepping bool
-		running  []*job
-		queue    []*job
+		removed    bool
+		stepping   bool
+		running    []*job
+		queue      []*job
 		// preparing holds the requests that are not queued yet, in the order of their arrival.
 		preparing []*job
 		// usedTokens is the memory reserved by running requests, cachedTokens that of cached
@@ -28,6 +26,8 @@
 		usedTokens, cachedTokens int
 		recent                   *list.List
 		cached                   map[string]*list.Element
+		// slowness is by how much a step that begins now takes longer; nil if no step does.
+		slowness func() float64
 	}
 
 	// job is one request at an engine.
@@ -59,7 +59,7 @@
 
 func newEngine(t *timeline, spec engineSpec, id, dataCentre string) *engine {
 	return &engine{
-		timeline: t, spec: spec, id: id, dataCentre: dataCentre, speed: 1, recent: list.New(), cached: map[string]*list.Element{},
+		timeline: t, spec: spec, id: id, dataCentre: dataCentre, recent: list.New(), cached: map[string]*list.Element{},
 	}
 }
 
@@ -71,11 +71,12 @@
 		return
 	}
 	e.preparing = append(e.preparing, j)
-	e.after(fromMilliseconds(e.spec.FirstMS/e.speed), func() {
+	e.after(fromMilliseconds(e.spec.FirstMS), func() {
 		if e.removed {
 			return
 		}
-		e.preparing = slices.DeleteFunc(e.preparing, func(o *job) bool { return o == j })
+		// All requests are prepared for the same time, so the first one is j.
+		e.preparing = e.preparing[1:]
 		e.insert(j)
 	})
 }
@@ -115,7 +116,10 @@
 		budget -= read
 	}
 	ms := e.spec.StepMS + stepMSPerRequest*float64(len(e.running)) + float64(maxChunkTokens-budget)/e.spec.ReadPerMS
-	e.after(time.Duration(ms/e.speed*float64(time.Millisecond)), e.finishStep)
+	if e.slowness != nil {
+		ms *= e.slowness()
+	}
+	e.after(time.Duration(ms*float64(time.Millisecond)), e.finishStep)
 }
 
 // admit starts queued requests while slots and memory are free. It evicts cached prefixes to free memory.
--- a/lsbench/replay.go
+++ b/lsbench/replay.go
@@ -56,6 +56,10 @@
 		unpublished []cachedPrefix
 		// speeds are the estimates of the daemons' hub.
 		speeds *speedSharing
+		// again sends a request again whose engine was removed; nil stands for arrive.
+		again func(i int)
+		// ended is called when an engine is done with a request; nil for no call.
+		ended func(i int, e *engine)
 	}
 
 	// replayDaemon is a daemon's view of the load: its own placements, and those of the other
@@ -322,8 +326,15 @@
 			if !firstAt.IsZero() && !e.removed {
 				m.recordAnswer(d, picked, request.Answer-1, m.now.Sub(firstAt))
 			}
+			if m.ended != nil {
+				m.ended(i, e)
+			}
 			if m.results[i].firstEvent < 0 && m.results[i].attempts < maxAttempts {
-				m.arrive(i)
+				if m.again != nil {
+					m.again(i)
+				} else {
+					m.arrive(i)
+				}
 			}
 		},
 	})
--- a/lsbench/speeds.go
+++ b/lsbench/speeds.go
@@ -211,22 +211,22 @@
 		l.Speeds[id] = d.speeds[i%len(d.speeds)]
 	}
 	end := time.Duration(seconds) * time.Second
-	type burst struct {
+	type peak struct {
 		from, to time.Duration
 		factor   float64
 	}
-	bursts := make([][]burst, len(d.kinds))
+	peaks := make([][]peak, len(d.kinds))
 	random := newRandom(seed, "bursts", 0)
 	for at := exponential(random, 8*time.Second); at < end; at += exponential(random, 8*time.Second) {
 		kind, length := random.IntN(len(d.kinds)), 3*time.Second+time.Duration(random.Float64()*float64(4*time.Second))
-		bursts[kind] = append(bursts[kind], burst{at, at + length, 1.5 + 0.7*random.Float64()})
+		peaks[kind] = append(peaks[kind], peak{at, at + length, 1.5 + 0.7*random.Float64()})
 		at += length
 	}
 	for k, kind := range d.kinds {
 		random := newRandom(seed, "kind", k)
 		for at := time.Duration(0); ; {
 			perSecond := kind.perSecond * rate
-			for _, b := range bursts[k] {
+			for _, b := range peaks[k] {
 				if at >= b.from && at < b.to {
 					perSecond *= b.factor
 				}
@@ -285,18 +285,20 @@
 	if !ok {
 		return
 	}
-	e.speed = speed
+	e.spec.StepMS, e.spec.ReadPerMS, e.spec.FirstMS = e.spec.StepMS/speed, e.spec.ReadPerMS*speed, e.spec.FirstMS/speed
 	p := m.load.Phases
 	if p.fraction == 0 {
 		return
 	}
 	random := newRandom(uint64(engineKey(e.id)), "phases", len(m.load.Arrivals))
 	pause := time.Duration(float64(p.length) * (1 - p.fraction) / p.fraction)
+	slowness := 1.0
+	e.slowness = func() float64 { return slowness }
 	var begin func()
 	begin = func() {
-		e.speed = speed / p.factor
+		slowness = p.factor
 		m.after(p.length, func() {
-			e.speed = speed
+			slowness = 1
 			m.after(exponential(random, pause), begin)
 		})
 	}
