relay: a test that failing endpoints don't look fast

Refused, failed and incomplete responses must not show a speed.

Run: go test ./entryd/relay ./platform/adapt ./platform/plat ./entryd/entry.

--- a/entryd/relay/speeds_test.go
+++ b/entryd/relay/speeds_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"fmt"
+	"io"
 	"math"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -253,3 +258,65 @@
 		t.Errorf("the speeds add up to %.3f, want %.3f", got, want)
 	}
 }
+
+// TestFailingEndpointIsNotFast guards against an endpoint that looks fast since it refuses requests or ends its streams
+// early, and would get most of the requests.
+func TestFailingEndpointIsNotFast(t *testing.T) {
+	const stream = "data: a\n\ndata: b\n\ndata: c\n\n"
+	for name, c := range map[string]struct {
+		status     int
+		body       string
+		incomplete bool
+		engine     *setup.Engine
+		want       bool
+	}{
+		"whole response":           {status: http.StatusOK, body: "ok", want: true},
+		"not found":                {status: http.StatusNotFound, body: "no"},
+		"failure":                  {status: http.StatusInternalServerError, body: "no"},
+		"incomplete response":      {status: http.StatusOK, body: "ok", incomplete: true},
+		"whole stream":             {status: http.StatusOK, body: stream, engine: &setup.Engine{EventTokens: 5}, want: true},
+		"incomplete stream":        {status: http.StatusOK, body: stream, incomplete: true, engine: &setup.Engine{EventTokens: 5}},
+		"stream of a single event": {status: http.StatusOK, body: "data: a\n\n", engine: &setup.Engine{EventTokens: 5}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			d := newTestDaemon(t, &now)
+			e := speedEndpoint(0, 1)
+			d.tables.putEndpoint(Record{Key: e.ID, Offset: 5, Value: []byte("{}")}, e, now)
+			d.tables.updateSpeeds(now)
+			for i := range 400 {
+				tokens := 100 << (i % 6)
+				d.tables.pace("pool").RecordFirst(pace.First{Tokens: tokens, Wait: time.Duration(tokens) * 20 * time.Microsecond})
+				d.tables.pace("pool").RecordAnswer(pace.Answer{Tokens: 100, Took: time.Second})
+				d.tables.pace("pool").RecordPlain(pace.Plain{Took: 20 * time.Millisecond})
+			}
+			config, err := setup.New(1, []setup.Route{{Name: "r", Host: "h", Prefix: "/", ServiceWeights: []setup.ServiceWeight{{Service: "pool", Weight: 1}}}},
+				[]setup.Service{{Name: "pool", Engine: c.engine}}, nil, setup.Limits{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			x := &exchange{
+				daemon: d, request: httptest.NewRequest(http.MethodPost, "/", nil), writer: httptest.NewRecorder(), config: config,
+				service: "pool", deadline: now.Add(time.Second), arrived: now, route: setup.Route{Name: "r", Kind: setup.Idempotent},
+			}
+			a := &attempt{
+				x: x, ctx: t.Context(), sentAt: now.Add(-time.Millisecond),
+				selection: selection{endpoint: e, picked: choice.Picked{Candidate: choice.Candidate{Slots: 16}, Uncached: 1000}, placed: &placement{endpoint: e.ID}},
+			}
+			response := &http.Response{StatusCode: c.status, ContentLength: int64(len(c.body)), Header: http.Header{}}
+			body := io.Reader(strings.NewReader(c.body))
+			if c.incomplete {
+				body = io.MultiReader(body, iotest.ErrReader(io.ErrUnexpectedEOF))
+			}
+			response.Body = io.NopCloser(body)
+			if c.engine == nil {
+				_, _ = a.forward(response)
+			} else {
+				_, _ = a.forwardStream(response)
+			}
+			if got := d.tables.speeds.own[speedKey(e)].Count; got > 0 != c.want {
+				t.Errorf("%d observations of the speed", got)
+			}
+		})
+	}
+}
