--- a/decide/pace/speed.go
+++ b/decide/pace/speed.go
@@ -62,8 +62,8 @@
 	// is the weight of the usual speed, to which such an estimate returns.
 	weightHalfLife = 60 * time.Second
 	priorWeight    = 1
-	// minWeight is the weight from which a speed is known, after 4 s of observations at least: with 6, equal engines were
-	// told apart after 1 s by the slow phases that some of them began in.
+	// minWeight is the weight from which a speed is known, after 4 s of observations at least: with 6, engines that differ
+	// by 8% were told apart after 1 s by the slow phases that some of them began in.
 	minWeight = 12
 	// differBand is how far a known speed must be from the usual one for the endpoints to differ, and alikeBand how
 	// near all must be to be alike again. differErrors and alikeErrors standard errors are added to them: without
