--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -9,6 +9,7 @@
 
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/scale"
+	"lentilstage.dev/domain/setup"
 )
 
 // capacityPlanner orders endpoints while this daemon holds the lease. Only the leader's goroutine
