relay: an incomplete response in a test lacks a byte of its length

A response whose length has been read is complete, so it is no longer read further. The case of a body that fails after its whole length can't occur on a connection.

--- a/entryd/relay/speeds_test.go
+++ b/entryd/relay/speeds_test.go
@@ -306,6 +306,7 @@
 			response := &http.Response{StatusCode: c.status, ContentLength: int64(len(c.body)), Header: http.Header{}}
 			body := io.Reader(strings.NewReader(c.body))
 			if c.incomplete {
+				response.ContentLength++
 				body = io.MultiReader(body, iotest.ErrReader(io.ErrUnexpectedEOF))
 			}
 			response.Body = io.NopCloser(body)
