--- a/domain/setup/setup.go
+++ b/domain/setup/setup.go
@@ -50,6 +50,8 @@
 		Public bool
 		// Resumable streams may be resumed at another endpoint after the last delivered event.
 		Resumable bool
+		// AllowedRegions are the regions whose endpoints may serve the requests; all if empty.
+		AllowedRegions []string
 	}
 
 	// Engine describes the model engines that run a service.
@@ -85,6 +87,10 @@
 		Engine *Engine
 		// Scaling is nil if no endpoints may be ordered.
 		Scaling *Scaling
+		// ColdRate is the number of requests per second that an endpoint tolerates while it is cold, from all daemons
+		// together; 0 if it tolerates all. ColdTime is how long a started endpoint is cold.
+		ColdRate float64
+		ColdTime time.Duration
 	}
 
 	// Account is a client account with its rate limit.
@@ -100,6 +106,8 @@
 		CountsTokens bool
 		// DefaultTokens is the cost in tokens of a request without token counts if CountsTokens is set.
 		DefaultTokens int
+		// AllowedRegions are the regions whose endpoints may serve the account's requests; all if empty.
+		AllowedRegions []string
 	}
 
 	// Limits bounds the requests of callers.
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -14,8 +14,8 @@
 
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
-	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -36,6 +36,8 @@
 		// began reports whether the endpoint has begun its response: a stream with its first event, another
 		// response with its head.
 		began bool
+		// firstSpeed is the logarithm of the speed that the first event has shown.
+		firstSpeed value.Option[float64]
 		// reply is what the head of the response says; its zero value until the head was read.
 		reply Reply
 		// writeResult receives the result of a write that runs while the response is read.
@@ -111,13 +113,14 @@
 		_ = c.Close()
 		return callerGone
 	}
-	if reason, withdrawn := x.daemon.tables.withdrawn(endpoint, x.daemon.clock.now()); withdrawn {
+	rule := x.homes()
+	if reason, withdrawn := x.daemon.tables.withdrawn(endpoint, rule, x.daemon.clock.now()); withdrawn {
 		// It was taken out of use while this request was being connected.
 		_ = c.Close()
 		x.log("Not sent.", "Endpoint", endpoint.ID, "Reason", reason)
 		return notSent
 	}
-	x.daemon.tables.markSent(selected.placed)
+	x.daemon.tables.markSent(selected.placed, rule)
 	a.endpointConn, a.reused = c, reused
 	a.sentAt = x.daemon.clock.now()
 	_ = c.SetDeadline(x.deadline)
@@ -186,9 +189,9 @@
 	if a.ctx.Err() != nil {
 		return false
 	}
-	if responseStarted && x.daemon.tables.rejects(a.endpoint.ID, x.daemon.clock.now()) {
+	if reason, rejects := x.daemon.tables.rejects(a.endpoint, x.daemon.clock.now()); rejects && responseStarted {
 		// The request could not return to this endpoint if the other one can't go on.
-		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", roster.Rejecting)
+		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", reason)
 		return false
 	}
 	next, ok := x.selectEndpoint(responseStarted)
@@ -310,6 +313,7 @@
 		a.x.daemon.tables.excludeMisdirected(a.endpoint)
 	} else {
 		a.recordLimit(reply)
+		a.recordWarmth(reply)
 	}
 	if reply.NotRun {
 		a.x.log("Not run.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode, "Misdirected", reply.Misdirected)
@@ -377,6 +381,17 @@
 	a.x.log("Endpoint limits requests.", "Endpoint", a.endpoint.ID, "Service", a.endpoint.Service, "Limited", limited, "PerSecond", rate)
 }
 
+// recordWarmth takes up whether the endpoint is cold.
+func (a *attempt) recordWarmth(reply Reply) {
+	d := a.x.daemon
+	warmAt, stated := reply.WarmAt.Get()
+	if !stated || !d.tables.recordWarmth(a.endpoint, warmAt, d.clock.now()) {
+		return
+	}
+	d.meters.count("Endpoints.Cold")
+	a.x.log("Endpoint is cold.", "Endpoint", a.endpoint.ID, "Service", a.endpoint.Service, "WarmAt", warmAt)
+}
+
 // reusable reports whether another request may be sent on the connection: nothing of this request or its response
 // is left on it.
 func (a *attempt) reusable(response *http.Response) bool {
--- a/entryd/relay/drain_test.go
+++ b/entryd/relay/drain_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 
 	"lentilstage.dev/decide/intake"
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -32,6 +34,13 @@
 	return c.Conn.Write(data)
 }
 
+// unavailableStore returns a log that rejects all records.
+func unavailableStore() Store {
+	return Store{Append: func(context.Context, Stream, int64, string, []byte) (value.Position, error) {
+		return value.Position{}, ErrUnavailable
+	}}
+}
+
 // TestDrainFlushesLastResponse guards against a planned stop that closes the connections while the last
 // response is in its buffer: its caller gets neither an answer nor a refusal.
 func TestDrainFlushesLastResponse(t *testing.T) {
@@ -40,6 +49,7 @@
 	d := newTestDaemon(t, &now)
 	d.clock.now = time.Now
 	d.settings.Limits.GracePeriod = 2 * drainIdleTime
+	d.store = unavailableStore()
 	received, answer := make(chan struct{}), make(chan struct{})
 	d.codec.ReadCall = func(*http.Request, time.Time) (Call, error) {
 		close(received)
@@ -72,6 +82,25 @@
 	}
 }
 
+// TestQuietTimeIgnoresTimeOfDay guards against a drain that ends early because the time of day steps forwards: the time
+// of the last request must be one since the daemon's start, which has a monotonic reading.
+func TestQuietTimeIgnoresTimeOfDay(t *testing.T) {
+	now := time.Now()
+	d := newTestDaemon(t, &now)
+	d.startedAt = now
+	d.codec.ReadCall = func(*http.Request, time.Time) (Call, error) { return Call{}, errors.New("malformed") }
+	d.codec.RefusalHeader = func(Call, time.Time, time.Time) http.Header { return nil }
+	now = now.Add(time.Second)
+	d.serveCaller(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+	if got := time.Duration(d.lastRequest.Load()); got != time.Second {
+		t.Errorf("the last request arrived %v after the start, want 1 s", got)
+	}
+	now = now.Add(2 * time.Second)
+	if got := d.quietTime(); got != 2*time.Second {
+		t.Errorf("quiet for %v, want 2 s", got)
+	}
+}
+
 // TestWithdrawnEndpointGetsNoBytes guards against a request to an endpoint that was taken out of use while the request
 // was being connected (DRAIN).
 func TestWithdrawnEndpointGetsNoBytes(t *testing.T) {
@@ -89,6 +118,9 @@
 			e.StartedAtMS = 9
 			d.tables.putEndpoint(Record{Key: e.ID, Offset: 6, Value: []byte("{}")}, e, now)
 		},
+		"its data centre is evacuated": func(d *Daemon, e setup.Endpoint, now time.Time) {
+			d.tables.recordEvacuation(e.DataCentre, Record{Key: "evacuate/" + e.DataCentre, Offset: 1, Value: []byte("{}")}, now)
+		},
 		"it rejects requests": func(d *Daemon, e setup.Endpoint, now time.Time) {
 			d.tables.recordRejection(e, now.Add(time.Minute), now)
 		},
--- a/entryd/relay/server.go
+++ b/entryd/relay/server.go
@@ -34,7 +34,7 @@
 	d.openRequests.Add(1)
 	defer d.openRequests.Add(-1)
 	now := d.clock.now()
-	d.lastRequest.Store(now.UnixNano())
+	d.lastRequest.Store(int64(d.age(now)))
 	conn := gate.FromContext(r.Context())
 	if conn != nil {
 		// The request may have waited since, for the processor or behind another one on its connection.
--- a/entryd/relay/settings.go
+++ b/entryd/relay/settings.go
@@ -14,6 +14,9 @@
 	Settings struct {
 		Name       string
 		DataCentre string
+		// Region is the region of DataCentre, Regions those of data centres by name; empty if not known.
+		Region  string
+		Regions map[string]string
 		// Listen is the address for callers, ReadyListen for the balancer's health checks,
 		// ControlListen for other daemons that fetch snapshots, PeerListen for messages between
 		// daemons, MetricsListen for metrics. All are IP:port; the last three may be empty.
@@ -54,6 +57,12 @@
 		RetryWindow    time.Duration
 		// ReportInterval is how often an endpoint renews its registration; 0 if not known.
 		ReportInterval time.Duration
+		// ColdOverrun times the rate that a cold endpoint tolerates plus ColdTolerance is the most requests that it may
+		// get in any one second.
+		ColdOverrun   float64
+		ColdTolerance float64
+		// EvacuationTime is the time from an evacuation's record until no request may be sent there.
+		EvacuationTime time.Duration
 		// CacheReuseWindow is how long a shared prompt part stays useful in a cache after its last use.
 		CacheReuseWindow time.Duration
 	}
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -11,6 +11,7 @@
 	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
+	"lentilstage.dev/decide/homes"
 	"lentilstage.dev/decide/pace"
 	"lentilstage.dev/decide/poison"
 	"lentilstage.dev/decide/quota"
@@ -18,6 +19,7 @@
 	"lentilstage.dev/decide/shift"
 	"lentilstage.dev/decide/suspect"
 	"lentilstage.dev/decide/usage"
+	"lentilstage.dev/decide/vacate"
 	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/domain/value"
 )
@@ -58,6 +60,23 @@
 		// daemon, both by short identifiers. The times are those of the last messages with limits.
 		limits, ownLimits                    map[uint32]statedLimit
 		digestLimits, sumLimits, totalLimits time.Time
+		// evacuations are the evacuated data centres, evacuationRecords the last key and value of each one's records.
+		// The times are those of the last messages with evacuations. operatorsListed reports whether the operators'
+		// records were all read.
+		evacuations                                         vacate.State
+		evacuationRecords                                   map[string]Record
+		digestEvacuations, sumEvacuations, totalEvacuations time.Time
+		operatorsListed                                     bool
+		// regions are the regions of the data centres.
+		regions homes.Regions
+		// warmth is what is known of endpoints that were cold, coldLimits the rates that apply to those that are, both by
+		// short identifiers. coldLimits are out of date while coldStale is set. The times are those of the last messages
+		// with cold endpoints.
+		warmth                         map[uint32]warmth
+		coldLimits                     map[uint32]float64
+		coldStale                      bool
+		coldOverrun, coldTolerance     float64
+		digestCold, sumCold, totalCold time.Time
 		// shortIDs are the short identifiers of the endpoints.
 		shortIDs map[uint32]bool
 		// placed is the number of requests whose engine time is in work, by service.
@@ -141,8 +160,9 @@
 		load     choice.Load
 		// sent reports whether bytes of the request have gone to the endpoint.
 		sent bool
-		// source is the address of an endpoint that has cached a part of the prompt; empty for none.
-		source string
+		// source is the address of an endpoint that has cached a part of the prompt, empty for none, and sourceCentre
+		// that endpoint's data centre.
+		source, sourceCentre string
 		// work is the endpoint time of the request in seconds.
 		work float64
 	}
@@ -184,6 +204,8 @@
 		pastUsed: map[string]int64{}, pastUsedElsewhere: map[string]int64{},
 		work: map[string]float64{}, placed: map[string]float64{},
 		limits: map[uint32]statedLimit{}, ownLimits: map[uint32]statedLimit{}, peerWork: map[string]float64{}, centreWork: map[string]float64{},
+		evacuationRecords: map[string]Record{}, regions: homes.New(s.DataCentre, s.Region, s.Regions),
+		warmth: map[uint32]warmth{}, coldLimits: map[uint32]float64{}, coldOverrun: s.Limits.ColdOverrun, coldTolerance: s.Limits.ColdTolerance,
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{}, speeds: newEndpointSpeeds(),
 		demand: map[string]*serviceDemand{}, demandSentAt: map[messageKind]time.Time{}, daemons: 1,
@@ -201,7 +223,7 @@
 func (t *tables) ready() bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.config != nil && t.listed
+	return t.config != nil && t.listed && t.operatorsListed
 }
 
 // applyConfig applies a configuration if it is newer and reports whether it did.
@@ -215,6 +237,7 @@
 	t.pruneTimings()
 	t.records[Operators][record.Key] = record
 	t.quota.Update(quota.Configured{Accounts: config.Accounts, Now: now})
+	t.coldStale = true
 	return true
 }
 
@@ -226,6 +249,9 @@
 	changes := t.updateRoster(roster.Put{Position: record.Position(), Endpoint: endpoint, Now: now}, now)
 	if after, _ := t.roster.Position(endpoint.ID); !known || after != before {
 		t.records[Endpoints][record.Key] = record
+		t.registerWarmth(endpoint, slices.ContainsFunc(changes, func(c roster.Change) bool {
+			return c.Reason == roster.Joined || c.Reason == roster.Restarted
+		}), now)
 	}
 	return changes
 }
@@ -289,6 +315,7 @@
 	defer t.mutex.Unlock()
 	changes := t.updateRoster(roster.Tick{Now: now}, now)
 	t.expireLimits(now)
+	t.coldStale = true
 	t.refresh(now)
 	t.health, _ = t.health.Update(health.Tick{Time: now})
 	t.prefixTable.expire(now)
@@ -308,6 +335,7 @@
 		}
 		if c.Reason == roster.Gone || c.Reason == roster.Restarted {
 			t.removeLimit(c.Endpoint.ID, now)
+			delete(t.warmth, shortID(c.Endpoint.ID))
 			t.prefixTable.dropEndpoint(c.Endpoint.ID)
 		}
 	}
@@ -317,10 +345,16 @@
 
 // refresh updates what is derived from the roster.
 func (t *tables) refresh(now time.Time) {
-	if !t.stale {
-		return
+	if t.stale {
+		t.rebuild(now)
+	}
+	if t.coldStale {
+		t.limitCold(now)
 	}
-	t.stale = false
+}
+
+func (t *tables) rebuild(now time.Time) {
+	t.stale, t.coldStale = false, true
 	t.endpoints = t.roster.Endpoints()
 	t.endpointsHash, t.endpointHashes = 0, rosterHashes{}
 	t.shortIDs = make(map[uint32]bool, len(t.endpoints))
@@ -430,7 +464,7 @@
 	offered := t.attraction(r.service)
 	found := candidates{healthy: make([]choice.Candidate, 0, len(t.endpoints))}
 	for _, e := range t.endpoints {
-		if e.Service != r.service || r.excludes(e.ID) {
+		if e.Service != r.service || r.excludes(e.ID) || t.evacuations.Evacuated(e.DataCentre) || !t.regions.Allow(r.homes, e.DataCentre) {
 			continue
 		}
 		if born, wrong := t.misdirected[e.ID]; wrong && born == e.StartedAtMS {
@@ -440,7 +474,7 @@
 		c := choice.Candidate{
 			ID: e.ID, Version: e.Version, DataCentre: e.DataCentre, Slots: e.Slots, Memory: memory,
 			Load: t.load(e.ID, loads), Cached: t.prefixTable.tokens(shortID(e.ID), parts, now),
-			Local: e.DataCentre == t.centre, Penalty: float64(status.Penalty.Milliseconds()),
+			Local: e.DataCentre == t.centre, Penalty: float64(status.Penalty.Milliseconds()) + t.coldPenalty(e.ID, r.target),
 			Speed: t.speeds.factor(e),
 		}
 		if e.State != setup.Ready {
@@ -448,7 +482,7 @@
 			continue
 		}
 		until, reason := t.closedUntil(e, offered, now)
-		if r.only != "" && reason == limitReached {
+		if r.only != "" && reason == limitReached && !t.cold(e.ID) {
 			// The response has begun there and can go on nowhere else. The request is deducted from the limit.
 			until = time.Time{}
 		}
@@ -486,15 +520,15 @@
 	return c.open(t.filterByVersion(service, list, random))
 }
 
-// opensAt returns when the first endpoint of the service takes requests again if none does now; zero if one
+// opensAt returns when the first endpoint of the service that the rule allows takes requests again if none does now; zero if one
 // takes them or none is known.
-func (t *tables) opensAt(service string, now time.Time) time.Time {
+func (t *tables) opensAt(service string, rule homes.Rule, now time.Time) time.Time {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.refresh(now)
 	var first time.Time
 	for _, e := range t.endpoints {
-		if e.Service != service || e.State != setup.Ready {
+		if e.Service != service || !t.available(e) || !t.regions.Allow(rule, e.DataCentre) {
 			continue
 		}
 		until, _ := t.closedUntil(e, 0, now)
@@ -508,17 +542,24 @@
 	return first
 }
 
-// rejects reports whether the endpoint wants no requests of this daemon at present.
-func (t *tables) rejects(id string, now time.Time) bool {
+// rejects reports whether the endpoint must get no requests of this daemon at present, and why: it wants none, or its
+// data centre is evacuated.
+func (t *tables) rejects(endpoint setup.Endpoint, now time.Time) (roster.Reason, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return now.Before(t.roster.RejectsUntil(id))
+	switch {
+	case t.evacuations.Evacuated(endpoint.DataCentre):
+		return inEvacuation, true
+	case now.Before(t.roster.RejectsUntil(endpoint.ID)):
+		return roster.Rejecting, true
+	}
+	return "", false
 }
 
 // withdrawn reports whether an endpoint that was chosen for a request must not get it any more, and why: it rejects
-// requests, is leaving or gone, or another process has its identifier. A limit does not count: the request was
+// requests, is leaving or gone, its data centre is evacuated or not allowed any more, or another process has its identifier. A limit does not count: the request was
 // deducted from it when the endpoint was chosen.
-func (t *tables) withdrawn(chosen setup.Endpoint, now time.Time) (roster.Reason, bool) {
+func (t *tables) withdrawn(chosen setup.Endpoint, rule homes.Rule, now time.Time) (roster.Reason, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.refresh(now)
@@ -530,6 +571,10 @@
 		return roster.Restarted, true
 	case current.State != setup.Ready:
 		return roster.Left, true
+	case t.evacuations.Evacuated(current.DataCentre):
+		return inEvacuation, true
+	case !t.regions.Allow(rule, current.DataCentre):
+		return outsideHomes, true
 	case now.Before(t.roster.RejectsUntil(chosen.ID)):
 		return roster.Rejecting, true
 	}
@@ -552,6 +597,8 @@
 	target  time.Duration
 	// account is the name of the client account; empty without accounts.
 	account string
+	// homes are the regions in which the call may be served.
+	homes homes.Rule
 	// tried holds the endpoints that must not get the call again.
 	tried map[string]bool
 	// only is the only endpoint that may get the call, although it was tried; empty for any other one.
@@ -585,7 +632,7 @@
 	endpoint, _ := t.endpoint(picked.Candidate.ID)
 	p := &placement{endpoint: endpoint.ID, load: choice.Load{Requests: 1}}
 	if source, ok := t.endpoint(picked.Source); ok {
-		p.source = source.Address
+		p.source, p.sourceCentre = source.Address, source.DataCentre
 	}
 	if request.Model {
 		p.load.Reading, p.load.Memory = float64(picked.Uncached), float64(request.Prompt+request.Answer)
@@ -616,9 +663,9 @@
 	return s
 }
 
-// recordFirstToken records the time to the first token of a placed call. It tells the engine's speed if the engine had
-// nothing else to compute as far as this daemon knows.
-func (t *tables) recordFirstToken(endpoint setup.Endpoint, picked choice.Picked, wait time.Duration) {
+// recordFirstToken records the time to the first token of a placed call. It returns the speed that the time shows, if the
+// engine had nothing else to compute as far as this daemon knows.
+func (t *tables) recordFirstToken(endpoint setup.Endpoint, picked choice.Picked, wait time.Duration) value.Option[float64] {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.pace(endpoint.Service).RecordWait(pace.Wait{
@@ -626,17 +673,23 @@
 	})
 	load, slots := picked.Candidate.Load, picked.Candidate.Slots
 	if picked.Fetched > 0 || load.Reading > 0 || float64(load.Requests) > lightLoad*float64(slots) {
-		return
+		return value.None[float64]()
 	}
-	t.speeds.record(endpoint)(t.pace(endpoint.Service).RecordFirst(pace.First{
+	observed, known := t.pace(endpoint.Service).RecordFirst(pace.First{
 		Tokens: picked.Uncached, Wait: wait - milliseconds(picked.Running()), Speed: picked.Candidate.Speed,
-	}))
+	})
+	if !known {
+		return value.None[float64]()
+	}
+	return value.Some(observed)
 }
 
-// recordAnswer records the time of a response after its first event.
-func (t *tables) recordAnswer(endpoint setup.Endpoint, picked choice.Picked, tokens int, took time.Duration) {
+// recordAnswer records the time of a complete response after its first event, and the speed that its first event has
+// shown. An endpoint that sends a first event at once and then fails is not fast.
+func (t *tables) recordAnswer(endpoint setup.Endpoint, picked choice.Picked, first value.Option[float64], tokens int, took time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.speeds.record(endpoint)(first.Get())
 	t.speeds.record(endpoint)(t.pace(endpoint.Service).RecordAnswer(pace.Answer{Tokens: tokens, Took: took, Speed: picked.Candidate.Speed}))
 }
 
