--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -100,7 +100,7 @@
 // dial opens a connection. If there are too many, it closes an idle one before. An error means that nothing was sent.
 func (p *pool) dial(ctx context.Context, address string) (*endpointConn, error) {
 	open := int(p.open.Add(1))
-	if open > p.limits.EndpointConnections {
+	if p.crowded(open) {
 		p.closeOne()
 	}
 	buffer := p.limits.SocketBufferBytes
@@ -109,6 +109,9 @@
 	}
 	dialer := net.Dialer{Timeout: dialTimeout, Control: func(_, _ string, raw syscall.RawConn) error {
 		// The kernel doubles the size. An error leaves its own, which may hold 6 MB that a caller does not read.
+		if buffer == 0 {
+			return nil
+		}
 		return raw.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, buffer/2)
 		})
@@ -123,6 +126,11 @@
 	return c, nil
 }
 
+// crowded reports whether a number of connections exceeds the limit; zero limits have none.
+func (p *pool) crowded(open int) bool {
+	return p.limits.EndpointConnections > 0 && open > p.limits.EndpointConnections
+}
+
 // closeOne closes an idle connection, if there is one.
 func (p *pool) closeOne() {
 	p.mutex.Lock()
@@ -159,7 +167,7 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.closed || p.count() > p.limits.EndpointConnections || len(p.idle[c.address]) >= maxIdlePerEndpoint || !now.Before(c.usableUntil) {
+	if p.closed || p.crowded(p.count()) || len(p.idle[c.address]) >= maxIdlePerEndpoint || !now.Before(c.usableUntil) {
 		_ = c.Close()
 		return
 	}
--- a/entryd/relay/pool_test.go
+++ b/entryd/relay/pool_test.go
@@ -5,13 +5,15 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"lentilstage.dev/decide/intake"
 )
 
 // TestConnectionToGoneEndpoint guards against a connection that stays open for good because it is put back after the
 // idle ones to its address were closed.
 func TestConnectionToGoneEndpoint(t *testing.T) {
 	const address = "127.0.0.1:9"
-	p := newPool(0)
+	p := newPool(intake.Limits{})
 	own, other := net.Pipe()
 	p.closeIdle(address)
 	p.put(newEndpointConn(own, address), http.Header{"Keep-Alive": {"timeout=3600"}})
