table, entry, lentilctl: evacuation by the operators' table

The project's own interface gets the same order as the users' platform: a sheet DataCentres with the column Evacuated, set by lentilctl evacuate or a published file, read back by evacuate, table and status, with clashes between operators as in other rows. Engines and plain services there get no request, no load order and no export; the fleet plan counts none of their instances, starts none there, ends none, and starts others elsewhere. The timeline tells begin and end.

Run: go test ./domain/... ./lentilctl ./entryd/entry ./decide/fleet ./wire/...; scripts/lint.

--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -72,6 +72,9 @@
 		Daemons  []string
 		Versions []VersionDemand
 		Prices   []wire.Price
+		// Evacuated are the data centres whose instances get no requests and no orders. What they carried is planned
+		// elsewhere, as far as MaxReplicas leaves slots.
+		Evacuated []string
 		// Instances are all instances on the cloud's list.
 		Instances []wire.Instance
 		State     State
--- a/decide/fleet/fleet_test.go
+++ b/decide/fleet/fleet_test.go
@@ -31,6 +31,7 @@
 	MaxStarting int                `yaml:"MaxStarting"`
 	Prices      map[string]float64 `yaml:"Prices"`
 	Refused     []string           `yaml:"Refused"`
+	Evacuated   []string           `yaml:"Evacuated"`
 	Held        []string           `yaml:"Held"`
 	Want        map[string]int     `yaml:"Want"`
 	Starts      []string           `yaml:"Starts"`
@@ -62,7 +63,7 @@
 	for _, c := range cases.Load[planCase](t, "testdata/plan.yaml") {
 		t.Run(c.Name, func(t *testing.T) {
 			view := View{
-				Time: testStart, Owner: "us", Daemons: []string{"e1", "e2"}, Prices: parsePrices(c.Prices), Settings: DefaultSettings(time.Minute),
+				Time: testStart, Owner: "us", Daemons: []string{"e1", "e2"}, Prices: parsePrices(c.Prices), Evacuated: c.Evacuated, Settings: DefaultSettings(time.Minute),
 				Versions: []VersionDemand{{
 					Row:      table.Version{Name: "v1", Kind: table.Model, Class: "gpu", MinReplicas: c.Min, MaxReplicas: c.Max, MaxPrice: c.MaxPrice},
 					Replicas: c.Demand, CoversWindow: !c.Unsettled,
--- a/decide/fleet/plan.go
+++ b/decide/fleet/plan.go
@@ -162,7 +162,7 @@
 			continue
 		}
 		held = append(held, h)
-		if h.instance.Class == row.Class && withinBounds(row, h) && !p.stuck(h.instance) {
+		if h.instance.Class == row.Class && withinBounds(row, h) && !p.stuck(h.instance) && !p.evacuated(h.instance.DataCentre) {
 			candidates = append(candidates, candidate{kind: kindOf(h.instance), price: h.price, effectivePrice: h.price * s.HeldPriceFactor, held: h})
 		}
 	}
@@ -170,7 +170,7 @@
 	for _, offer := range p.view.Prices {
 		k := Kind{offer.DataCentre, offer.Class, offer.Market}
 		switch {
-		case k.Class != row.Class:
+		case k.Class != row.Class || p.evacuated(k.DataCentre):
 		case p.state.RefusedUntil(k).After(p.view.Time):
 			refused++
 		case row.MaxPrice > 0 && offer.PerHour > row.MaxPrice:
@@ -201,6 +201,11 @@
 	p.endSurplus(v, held, chosen, summary, blocked)
 }
 
+// evacuated reports whether the instances of a data centre get no requests.
+func (p *planner) evacuated(dataCentre string) bool {
+	return slices.Contains(p.view.Evacuated, dataCentre)
+}
+
 // fillSlots adds the slots and start orders of a version. held is the number of its present
 // instances. It reports whether some new instances got no slot because surplus instances still
 // occupy the slots up to MaxReplicas.
@@ -282,7 +287,8 @@
 	// but never that of the only instance.
 	swap := v.CoversWindow && blocked && live == len(chosen.held) && len(held) > 1
 	for _, h := range slices.Backward(held) {
-		if used[h.key] {
+		// Instances of an evacuated data centre are kept, since the evacuation may end.
+		if used[h.key] || p.evacuated(h.instance.DataCentre) {
 			continue
 		}
 		numbers := append([]event.Number{{Name: "Live", Value: float64(live)}, {Name: "PricePerHour", Value: h.price}}, summary.Numbers...)
--- a/domain/table/check.go
+++ b/domain/table/check.go
@@ -21,7 +21,7 @@
 // with names come first, then those of accounts, versions and routes.
 func (t Table) Check() Problems {
 	c := &checker{nameCounts: make(map[RowKey]int)}
-	if rows := len(t.Accounts) + len(t.Versions) + len(t.Routes); rows > MaxRows {
+	if rows := len(t.Accounts) + len(t.Versions) + len(t.Routes) + len(t.DataCentres); rows > MaxRows {
 		c.add(RowKey{}, "", "the table has %d rows; the limit is %d", rows, MaxRows)
 	}
 	for _, sheet := range sheets {
@@ -51,6 +51,10 @@
 		for _, r := range t.Routes {
 			rows = append(rows, r)
 		}
+	case DataCentres:
+		for _, d := range t.DataCentres {
+			rows = append(rows, d)
+		}
 	}
 	return rows
 }
--- a/domain/table/diff.go
+++ b/domain/table/diff.go
@@ -7,7 +7,7 @@
 )
 
 // sheets lists the sheets in the order in which edits are returned.
-var sheets = []Sheet{Accounts, Versions, Routes}
+var sheets = []Sheet{Accounts, Versions, Routes, DataCentres}
 
 // Edits returns the edits that the operator made to the file since it was read, ordered by
 // sheet and row. It returns false for a file that was written without base rows. The result
@@ -93,6 +93,8 @@
 		edit.Version = &r
 	case Route:
 		edit.Route = &r
+	case DataCentre:
+		edit.DataCentre = &r
 	}
 	return edit
 }
@@ -120,6 +122,9 @@
 		r.Versions = append([]WeightedVersion(nil), r.Versions...)
 		r.MoveDeadline = r.MoveDeadline.UTC()
 		return string(mustJSON(r))
+	case DataCentre:
+		r.Revision = 0
+		return string(mustJSON(r))
 	}
 	return ""
 }
--- a/domain/table/row.go
+++ b/domain/table/row.go
@@ -35,7 +35,7 @@
 		Name  string `json:"Name"`
 	}
 
-	// Sheet is the name of one of the three groups of rows.
+	// Sheet is the name of one of the four groups of rows.
 	Sheet string
 
 	// Account is the row of a client account.
@@ -108,11 +108,21 @@
 		FirstShare float64 `json:"FirstShare" yaml:"FirstShare,omitempty"`
 	}
 
+	// DataCentre is the row of a data centre. A data centre without a row is in use.
+	DataCentre struct {
+		Name     string `json:"Name" yaml:"Name"`
+		Revision int64  `json:"Revision" yaml:"Revision,omitempty"`
+		// Evacuated is set if no request may be sent to the endpoints of the data centre.
+		Evacuated bool `json:"Evacuated" yaml:"Evacuated,omitempty"`
+	}
+
 	// Table is the operators' table in the form of a file.
 	Table struct {
 		Accounts []Account `json:"Accounts" yaml:"Accounts"`
 		Versions []Version `json:"Versions" yaml:"Versions"`
 		Routes   []Route   `json:"Routes" yaml:"Routes"`
+		// DataCentres are the data centres that were ever evacuated.
+		DataCentres []DataCentre `json:"DataCentres,omitempty" yaml:"DataCentres,omitempty"`
 		// Base maps each row key, in the form of RowKey.String, to the row as it was when the
 		// file was read. It separates this operator's edits and deletions from those of others.
 		Base map[string]BaseRow `json:"Base,omitempty" yaml:"Base,omitempty"`
@@ -132,10 +142,11 @@
 	// Plain is the kind of versions and routes that are served by plain services.
 	Plain Kind = "Plain"
 
-	// Accounts, Versions and Routes are the sheets of the table.
-	Accounts Sheet = "Accounts"
-	Versions Sheet = "Versions"
-	Routes   Sheet = "Routes"
+	// Accounts, Versions, Routes and DataCentres are the sheets of the table.
+	Accounts    Sheet = "Accounts"
+	Versions    Sheet = "Versions"
+	Routes      Sheet = "Routes"
+	DataCentres Sheet = "DataCentres"
 
 	// MaxRows is the maximum number of rows of a table.
 	MaxRows = 1000
@@ -173,6 +184,12 @@
 // Base returns the revision that the row was edited from.
 func (r Route) Base() int64 { return r.Revision }
 
+// Key returns the sheet and name of the row.
+func (d DataCentre) Key() RowKey { return RowKey{Sheet: DataCentres, Name: d.Name} }
+
+// Base returns the revision that the row was edited from.
+func (d DataCentre) Base() int64 { return d.Revision }
+
 // MoveID returns the identifier of the version move that the route row requests, or an empty
 // string. It includes the row's revision, so that a later edit of the row starts a new move.
 func (r Route) MoveID() string {
--- a/domain/table/state.go
+++ b/domain/table/state.go
@@ -37,6 +37,8 @@
 		Account *Account `json:"Account,omitempty"`
 		Version *Version `json:"Version,omitempty"`
 		Route   *Route   `json:"Route,omitempty"`
+		// DataCentre is the row of a data centre.
+		DataCentre *DataCentre `json:"DataCentre,omitempty"`
 	}
 
 	// Change is a set of edits that is applied atomically.
@@ -123,6 +125,7 @@
 		Accounts    map[string]Account    `json:"Accounts"`
 		Versions    map[string]Version    `json:"Versions"`
 		Routes      map[string]Route      `json:"Routes"`
+		DataCentres map[string]DataCentre `json:"DataCentres,omitempty"`
 		Moves       map[string]MoveState  `json:"Moves"`
 		Quarantined map[string]Quarantine `json:"Quarantined"`
 		Outcomes    []Outcome             `json:"Outcomes"`
@@ -184,6 +187,7 @@
 		Accounts:    map[string]Account{},
 		Versions:    map[string]Version{},
 		Routes:      map[string]Route{},
+		DataCentres: map[string]DataCentre{},
 		Moves:       map[string]MoveState{},
 		Quarantined: map[string]Quarantine{},
 	}
@@ -193,7 +197,7 @@
 // needs for Edits.
 func (s State) Table() Table {
 	t := s.rows()
-	t.Base = make(map[string]BaseRow, len(t.Accounts)+len(t.Versions)+len(t.Routes))
+	t.Base = make(map[string]BaseRow, len(t.Accounts)+len(t.Versions)+len(t.Routes)+len(t.DataCentres))
 	for _, sheet := range sheets {
 		for _, row := range t.rowsOf(sheet) {
 			t.Base[row.Key().String()] = BaseRow{Revision: row.Base(), Hash: rowHash(row)}
@@ -205,9 +209,10 @@
 // rows returns the rows in the order of their names, without base rows.
 func (s State) rows() Table {
 	return Table{
-		Accounts: sortedRows(s.Accounts),
-		Versions: sortedRows(s.Versions),
-		Routes:   sortedRows(s.Routes),
+		Accounts:    sortedRows(s.Accounts),
+		Versions:    sortedRows(s.Versions),
+		Routes:      sortedRows(s.Routes),
+		DataCentres: sortedRows(s.DataCentres),
 	}
 }
 
@@ -287,6 +292,20 @@
 	return route.SplitAt(share)
 }
 
+// Evacuated reports whether no request may be sent to the endpoints of a data centre.
+func (s State) Evacuated(dataCentre string) bool { return s.DataCentres[dataCentre].Evacuated }
+
+// EvacuatedCentres returns the evacuated data centres, sorted by name.
+func (s State) EvacuatedCentres() []string {
+	var names []string
+	for _, name := range sortedKeys(s.DataCentres) {
+		if s.Evacuated(name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // AccountByKey returns the account that has a key with the given hash.
 func (s State) AccountByKey(hash string) (Account, bool) {
 	for _, a := range s.Accounts {
@@ -391,6 +410,7 @@
 	s.Accounts = orDefault(s.Accounts, empty.Accounts)
 	s.Versions = orDefault(s.Versions, empty.Versions)
 	s.Routes = orDefault(s.Routes, empty.Routes)
+	s.DataCentres = orDefault(s.DataCentres, empty.DataCentres)
 	s.Moves = orDefault(s.Moves, empty.Moves)
 	s.Quarantined = orDefault(s.Quarantined, empty.Quarantined)
 	return s
@@ -411,6 +431,10 @@
 		if r, ok := s.Routes[key.Name]; ok {
 			return r, r.Revision
 		}
+	case DataCentres:
+		if d, ok := s.DataCentres[key.Name]; ok {
+			return d, d.Revision
+		}
 	}
 	return nil, 0
 }
@@ -419,6 +443,7 @@
 	s.Accounts = maps.Clone(s.Accounts)
 	s.Versions = maps.Clone(s.Versions)
 	s.Routes = maps.Clone(s.Routes)
+	s.DataCentres = maps.Clone(orDefault(s.DataCentres, map[string]DataCentre{}))
 	for _, edit := range edits {
 		switch {
 		case edit.Delete && edit.Row.Sheet == Accounts:
@@ -427,6 +452,8 @@
 			delete(s.Versions, edit.Row.Name)
 		case edit.Delete && edit.Row.Sheet == Routes:
 			delete(s.Routes, edit.Row.Name)
+		case edit.Delete && edit.Row.Sheet == DataCentres:
+			delete(s.DataCentres, edit.Row.Name)
 		case edit.Account != nil:
 			row := *edit.Account
 			row.Revision = revision
@@ -439,6 +466,10 @@
 			row := *edit.Route
 			row.Revision = revision
 			s.Routes[row.Name] = row
+		case edit.DataCentre != nil:
+			row := *edit.DataCentre
+			row.Revision = revision
+			s.DataCentres[row.Name] = row
 		}
 	}
 	return s
@@ -467,6 +498,8 @@
 		return *e.Version
 	case e.Route != nil:
 		return *e.Route
+	case e.DataCentre != nil:
+		return *e.DataCentre
 	}
 	return nil
 }
@@ -474,7 +507,7 @@
 // Check returns an error unless the edit sets or deletes exactly the row with its key.
 func (e Edit) Check() error {
 	actions := 0
-	for _, present := range []bool{e.Delete, e.Account != nil, e.Version != nil, e.Route != nil} {
+	for _, present := range []bool{e.Delete, e.Account != nil, e.Version != nil, e.Route != nil, e.DataCentre != nil} {
 		if present {
 			actions++
 		}
--- a/entryd/entry/endpoints.go
+++ b/entryd/entry/endpoints.go
@@ -35,6 +35,8 @@
 		health   health.Aggregate
 		chooser  *route.Chooser
 		inFlight map[string]int
+		// evacuated are the evacuated data centres at the last reading of the list.
+		evacuated []string
 	}
 
 	// target is the endpoint chosen for a request or call.
@@ -94,7 +96,8 @@
 // syncList applies the instance list: new endpoints get a view, leaving ones get no new requests,
 // and views of endpoints that are no longer listed are removed.
 func (e *endpoints) syncList() {
-	routes := e.control.State().Routes
+	state := e.control.State()
+	routes := state.Routes
 	instances := append(e.members.withRole(wire.RoleEngine), e.members.withRole(wire.RolePlain)...)
 	listing := health.Listing{Time: e.base.Now()}
 	e.mu.Lock()
@@ -125,6 +128,33 @@
 	e.listed = listed
 	e.chooser = route.NewChooser(route.WithDelays(delays))
 	e.updateHealthLocked(listing)
+	e.emitEvacuations(state.EvacuatedCentres())
+}
+
+// emitEvacuations emits an event for each evacuation that has begun or ended. The caller holds the lock.
+func (e *endpoints) emitEvacuations(evacuated []string) {
+	before := e.evacuated
+	e.evacuated = evacuated
+	for _, centre := range value.NewSet(slices.Concat(before, evacuated)...).Sorted() {
+		began, lasted := slices.Contains(evacuated, centre), slices.Contains(before, centre)
+		if began == lasted {
+			continue
+		}
+		concerned := 0
+		for _, i := range e.listed {
+			if i.DataCentre == centre {
+				concerned++
+			}
+		}
+		reason := "the evacuation has ended"
+		if began {
+			reason = "the evacuation has begun"
+		}
+		e.base.emit(event.Event{
+			Kind: "Evacuation", Endpoint: centre, Reason: reason,
+			Numbers: []event.Number{{Name: "Endpoints", Value: float64(concerned)}, {Name: "EvacuatedCentres", Value: float64(len(evacuated))}},
+		})
+	}
 }
 
 // networkDelay returns the network delay to an instance.
@@ -181,13 +211,14 @@
 	return names
 }
 
-// liveEngines returns the live engines with the versions that they report.
+// liveEngines returns the live engines outside evacuated data centres with the versions that they report.
 func (e *endpoints) liveEngines() []place.Engine {
+	state := e.control.State()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var engines []place.Engine
 	for id, i := range e.listed {
-		if i.Role == wire.RoleEngine && i.State == wire.Live {
+		if i.Role == wire.RoleEngine && i.State == wire.Live && !state.Evacuated(i.DataCentre) {
 			engines = append(engines, place.Engine{
 				Instance: id, DataCentre: i.DataCentre, Class: i.Class, Versions: e.views[id].Versions,
 			})
@@ -295,7 +326,7 @@
 	defer e.mu.Unlock()
 	views := make([]*route.View, 0, len(e.views))
 	for id, v := range e.views {
-		if e.listed[id].Role != wire.RoleEngine {
+		if e.listed[id].Role != wire.RoleEngine || state.Evacuated(e.listed[id].DataCentre) {
 			continue
 		}
 		// Copy the view only for an endpoint that is not healthy.
@@ -324,7 +355,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, version := range versionOrder(split, draw) {
-		if found, ok := e.leastInFlight(version, tried); ok {
+		if found, ok := e.leastInFlight(state, version, tried); ok {
 			e.updateHealthLocked(health.Sent{Time: e.base.Now(), Instance: found.ID})
 			return target{Instance: found, Version: version, Fenced: state.Versions[version].Fenced}, true
 		}
@@ -349,13 +380,13 @@
 	return order
 }
 
-// leastInFlight returns the live plain service of the version with the fewest calls in flight. The
+// leastInFlight returns the live plain service of the version outside evacuated data centres with the fewest calls in flight. The
 // caller holds the lock.
-func (e *endpoints) leastInFlight(version string, tried value.Set[string]) (wire.Instance, bool) {
+func (e *endpoints) leastInFlight(state table.State, version string, tried value.Set[string]) (wire.Instance, bool) {
 	best, found := wire.Instance{}, false
 	for id, i := range e.listed {
 		usable := i.Role == wire.RolePlain && i.State == wire.Live && slices.Contains(i.Versions, version) &&
-			!tried.Has(id) && !e.health.Status(id).Blocked()
+			!tried.Has(id) && !e.health.Status(id).Blocked() && !state.Evacuated(i.DataCentre)
 		if !usable {
 			continue
 		}
@@ -434,13 +465,14 @@
 func (e *endpoints) status() []wire.EndpointStatus {
 	var result []wire.EndpointStatus
 	instances := append(e.members.withRole(wire.RoleEngine), e.members.withRole(wire.RolePlain)...)
+	state := e.control.State()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, i := range instances {
 		result = append(result, wire.EndpointStatus{
 			Instance: i.ID, DataCentre: i.DataCentre, Versions: i.Versions,
 			State: string(i.State), InFlight: e.inFlight[i.ID],
-			Reason: string(e.health.Status(i.ID).State),
+			Reason: string(e.health.Status(i.ID).State), Evacuated: state.Evacuated(i.DataCentre),
 		})
 	}
 	return result
--- a/entryd/entry/fleet.go
+++ b/entryd/entry/fleet.go
@@ -30,6 +30,8 @@
 		samples func() []fleet.LoadSample
 		// versions returns the version rows of the table, or false if there is no table yet.
 		versions func() ([]table.Version, bool)
+		// evacuated returns the evacuated data centres.
+		evacuated func() []string
 		// daemons returns the names of the live daemons.
 		daemons func() []string
 
@@ -72,6 +74,7 @@
 		versions: func() ([]table.Version, bool) {
 			return c.State().Table().Versions, c.HasTable()
 		},
+		evacuated: func() []string { return c.State().EvacuatedCentres() },
 		daemons: func() []string {
 			names := []string{b.Settings.Name}
 			for _, d := range m.daemons() {
@@ -125,7 +128,7 @@
 	w.demand = w.demand.With(w.samples()...)
 	view := fleet.View{
 		Time: now, Owner: w.base.Settings.FleetOwner, Daemons: w.daemons(), Prices: prices.Prices,
-		Instances: list.Instances, State: w.memory, Settings: w.settings,
+		Instances: list.Instances, State: w.memory, Settings: w.settings, Evacuated: w.evacuated(),
 	}
 	for _, row := range rows {
 		view.Versions = append(view.Versions, fleet.VersionDemand{
--- a/entryd/entry/reclaim.go
+++ b/entryd/entry/reclaim.go
@@ -119,6 +119,10 @@
 // transferCache moves the KV cache of an attempt to another endpoint. If any step fails, the next
 // attempt computes the context again.
 func (r *requests) transferCache(owned *ownedRequest, id ident.AttemptID, a activeAttempt) {
+	if r.control.State().Evacuated(a.target.Instance.DataCentre) {
+		// Nothing new may be sent there, not even the export; the next attempt computes the context again.
+		return
+	}
 	deadline := r.base.Now().Add(kvTransferTimeout)
 	cache, err := client.Engine{Address: a.target.Instance.Address}.Export(deadline, string(id))
 	if err != nil {
--- a/lentilctl/main.go
+++ b/lentilctl/main.go
@@ -64,6 +64,7 @@
 		&publishCommand{app: a},
 		&statusCommand{app: a},
 		&movesCommand{app: a},
+		&evacuateCommand{app: a},
 		&explainCommand{app: a},
 		&timelineCommand{app: a},
 		&keygenCommand{app: a},
--- a/lentilctl/publish.go
+++ b/lentilctl/publish.go
@@ -79,6 +79,9 @@
 	for _, r := range t.Routes {
 		rows[r.Key()] = r
 	}
+	for _, r := range t.DataCentres {
+		rows[r.Key()] = r
+	}
 	for _, e := range edits {
 		old, known := rows[e.Row]
 		verb := "change"
@@ -108,6 +111,8 @@
 		return e.Account
 	case e.Version != nil:
 		return e.Version
+	case e.DataCentre != nil:
+		return e.DataCentre
 	default:
 		return e.Route
 	}
--- a/lentilctl/status.go
+++ b/lentilctl/status.go
@@ -51,9 +51,9 @@
 		columns.row(p.Process, p.DataCentre, p.Address, yesNo(p.Alive), strconv.FormatInt(p.Next, 10), formatTime(p.Heard))
 	}
 	columns.flush()
-	columns = c.app.columnWriter("ENDPOINT", "DATA CENTRE", "VERSIONS", "STATE", "IN FLIGHT", "REASON")
+	columns = c.app.columnWriter("ENDPOINT", "DATA CENTRE", "VERSIONS", "STATE", "IN FLIGHT", "REASON", "EVACUATED")
 	for _, e := range status.Endpoints {
-		columns.row(e.Instance, e.DataCentre, joinList(e.Versions), e.State, strconv.Itoa(e.InFlight), e.Reason)
+		columns.row(e.Instance, e.DataCentre, joinList(e.Versions), e.State, strconv.Itoa(e.InFlight), e.Reason, yesNo(e.Evacuated))
 	}
 	columns.flush()
 	return subcommands.ExitSuccess
--- a/lentilctl/table.go
+++ b/lentilctl/table.go
@@ -68,7 +68,7 @@
 	return subcommands.ExitSuccess
 }
 
-// printTable prints the accounts, versions and routes as aligned columns.
+// printTable prints the accounts, versions, routes and data centres as aligned columns.
 func (a *app) printTable(t table.Table) {
 	columns := a.columnWriter("ACCOUNT", "SHARE", "IN FLIGHT", "TOKENS/S", "SPEND/H", "KEYS", "REVISION")
 	for _, row := range t.Accounts {
@@ -94,6 +94,11 @@
 			r.MoveTo, formatTime(r.MoveDeadline), formatLimit(r.FirstShare), formatRevision(r))
 	}
 	columns.flush()
+	columns = a.columnWriter("DATA CENTRE", "EVACUATED", "REVISION")
+	for _, d := range t.DataCentres {
+		columns.row(d.Name, yesNo(d.Evacuated), formatRevision(d))
+	}
+	columns.flush()
 }
 
 // columnWriter prints rows with aligned columns.
--- a/wire/wire/operator.go
+++ b/wire/wire/operator.go
@@ -47,6 +47,8 @@
 		State      string   `json:"State"`
 		InFlight   int      `json:"InFlight"`
 		Reason     string   `json:"Reason,omitempty"`
+		// Evacuated is set if the endpoint's data centre is evacuated.
+		Evacuated bool `json:"Evacuated,omitempty"`
 	}
 
 	// PeerStatus is a daemon's view of another daemon.
