--- a/decide/pace/speed.go
+++ b/decide/pace/speed.go
@@ -62,8 +62,8 @@
 	// is the weight of the usual speed, to which such an estimate returns.
 	weightHalfLife = 60 * time.Second
 	priorWeight    = 1
-	// minWeight is the weight from which a speed is known, after 4 s of observations at least: with 6, equal engines were
-	// told apart after 1 s by the slow phases that some of them began in.
+	// minWeight is the weight from which a speed is known, after 4 s of observations at least: with 6, engines that differ
+	// by 8% were told apart after 1 s by the slow phases that some of them began in.
 	minWeight = 12
 	// differBand is how far a known speed must be from the usual one for the endpoints to differ, and alikeBand how
 	// near all must be to be alike again. differErrors and alikeErrors standard errors are added to them: without
@@ -191,6 +191,18 @@
 	return math.Exp(c.Logs[key])
 }
 
+// MeanSpeed returns the mean of the known speeds, as multiples of the usual one, and 1 if none is known.
+func (c Comparison) MeanSpeed() float64 {
+	if len(c.Logs) == 0 {
+		return 1
+	}
+	sum := 0.0
+	for _, logarithm := range c.Logs {
+		sum += math.Exp(logarithm)
+	}
+	return sum / float64(len(c.Logs))
+}
+
 // Quantize returns a logarithm in whole steps of LogStep, within the bounds.
 func Quantize(logarithm float64) float64 {
 	return math.Round(clamp(logarithm, -MaxLog, MaxLog)/LogStep) * LogStep
--- a/entryd/relay/pool_test.go
+++ b/entryd/relay/pool_test.go
@@ -11,7 +11,7 @@
 // idle ones to its address were closed.
 func TestConnectionToGoneEndpoint(t *testing.T) {
 	const address = "127.0.0.1:9"
-	p := newPool()
+	p := newPool(0)
 	own, other := net.Pipe()
 	p.closeIdle(address)
 	p.put(newEndpointConn(own, address), http.Header{"Keep-Alive": {"timeout=3600"}})
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -663,9 +663,9 @@
 	return s
 }
 
-// recordFirstToken records the time to the first token of a placed call. It tells the engine's speed if the engine had
-// nothing else to compute as far as this daemon knows.
-func (t *tables) recordFirstToken(endpoint setup.Endpoint, picked choice.Picked, wait time.Duration) {
+// recordFirstToken records the time to the first token of a placed call. It returns the speed that the time shows, if the
+// engine had nothing else to compute as far as this daemon knows.
+func (t *tables) recordFirstToken(endpoint setup.Endpoint, picked choice.Picked, wait time.Duration) value.Option[float64] {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.pace(endpoint.Service).RecordWait(pace.Wait{
@@ -673,17 +673,23 @@
 	})
 	load, slots := picked.Candidate.Load, picked.Candidate.Slots
 	if picked.Fetched > 0 || load.Reading > 0 || float64(load.Requests) > lightLoad*float64(slots) {
-		return
+		return value.None[float64]()
 	}
-	t.speeds.record(endpoint)(t.pace(endpoint.Service).RecordFirst(pace.First{
+	observed, known := t.pace(endpoint.Service).RecordFirst(pace.First{
 		Tokens: picked.Uncached, Wait: wait - milliseconds(picked.Running()), Speed: picked.Candidate.Speed,
-	}))
+	})
+	if !known {
+		return value.None[float64]()
+	}
+	return value.Some(observed)
 }
 
-// recordAnswer records the time of a response after its first event.
-func (t *tables) recordAnswer(endpoint setup.Endpoint, picked choice.Picked, tokens int, took time.Duration) {
+// recordAnswer records the time of a complete response after its first event, and the speed that its first event has
+// shown. An endpoint that sends a first event at once and then fails is not fast.
+func (t *tables) recordAnswer(endpoint setup.Endpoint, picked choice.Picked, first value.Option[float64], tokens int, took time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.speeds.record(endpoint)(first.Get())
 	t.speeds.record(endpoint)(t.pace(endpoint.Service).RecordAnswer(pace.Answer{Tokens: tokens, Took: took, Speed: picked.Candidate.Speed}))
 }
 
