--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -9,6 +9,7 @@
 
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/scale"
+	"lentilstage.dev/domain/setup"
 )
 
 // capacityPlanner orders endpoints while this daemon holds the lease. Only the leader's goroutine
@@ -238,7 +239,7 @@
 	return ready, work, t.limitedCapacity(service)
 }
 
-// kindSpeeds returns the sums of the speeds of a service's ready endpoints by kind, as multiples of the usual speed, or nil
+// kindSpeeds returns the sums of the speeds of a service's available endpoints by kind, as multiples of the usual speed, or nil
 // if they don't differ. Endpoints whose speed is not known count with the mean of the others.
 func (t *tables) kindSpeeds(service string, now time.Time) map[scale.Kind]float64 {
 	t.mutex.Lock()
@@ -251,7 +252,7 @@
 	mean := compared.MeanSpeed()
 	sums := map[scale.Kind]float64{}
 	for _, e := range t.endpoints {
-		if e.Service != service || e.State != setup.Ready {
+		if e.Service != service || !t.available(e) {
 			continue
 		}
 		speed := mean
