pace: narrow halves tell apart endpoints earlier

Engines of 1.0 and 1.3 were told apart after 10 to 15 s on the model of deployment two, since the assumed error of an observation is that of engines with slow phases. The spread within the faster and the slower half shows the true one.

--- a/decide/pace/speed.go
+++ b/decide/pace/speed.go
@@ -73,9 +73,13 @@
 	differErrors = 4
 	alikeErrors  = 2
 	// halvesErrors is the number of standard errors by which the means of the faster and the slower half of equal endpoints
-	// differ. From minHalves endpoints on, these means tell apart kinds of endpoints whose difference is near the band.
-	halvesErrors = 1.6
-	minHalves    = 6
+	// differ, and halvesSpreads the same as a multiple of the standard deviation within the halves, both for a normal
+	// distribution. From minHalves endpoints on, these means tell apart kinds of endpoints whose difference is near the
+	// band, from minSpreads on as soon as the halves are narrow.
+	halvesErrors  = 1.6
+	halvesSpreads = 2.66
+	minHalves     = 6
+	minSpreads    = 20
 )
 
 // With returns the tally with an observation. It is bounded relative to the present estimate of the endpoint, so that
@@ -144,7 +148,6 @@
 func (s *Speeds) Compare(keys []uint32, differed bool, now time.Time) Comparison {
 	c := Comparison{Logs: map[uint32]float64{}, Errors: map[uint32]float64{}}
 	var logs []float64
-	sum := 0.0
 	for _, key := range keys {
 		e, known := s.estimates[key]
 		if e = e.at(now); !known || e.weight < minWeight {
@@ -153,33 +156,51 @@
 		c.Logs[key] = e.mean * e.weight / (e.weight + priorWeight)
 		c.Errors[key] = observationError / math.Sqrt(e.weight)
 		logs = append(logs, c.Logs[key])
-		sum += c.Logs[key]
 	}
 	if len(logs) == 0 {
 		return c
 	}
 	slices.Sort(logs)
-	median, mean, errors := logs[(len(logs)-1)/2], sum/float64(len(logs)), 0.0
+	median, usual, errors := logs[(len(logs)-1)/2], mean(logs), 0.0
 	band, bandErrors := differBand, float64(differErrors)
 	if differed {
 		band, bandErrors = alikeBand, alikeErrors
 	}
 	for key, logarithm := range c.Logs {
 		c.Differ = c.Differ || math.Expm1(math.Abs(logarithm-median)) > band+bandErrors*c.Errors[key]
-		c.Logs[key] = Quantize(logarithm - mean)
+		c.Logs[key] = Quantize(logarithm - usual)
 		errors += c.Errors[key] / float64(len(logs))
 	}
-	c.Differ = c.Differ || len(logs) >= minHalves && math.Expm1(halves(logs)-halvesErrors*errors) > band
+	if len(logs) >= minHalves {
+		difference, spread := halves(logs)
+		chance := halvesErrors * errors
+		if len(logs) >= minSpreads {
+			chance = min(chance, halvesSpreads*spread)
+		}
+		c.Differ = c.Differ || math.Expm1(difference-chance) > band
+	}
 	return c
 }
 
-// halves returns the difference of the means of the upper and the lower half of sorted numbers.
-func halves(sorted []float64) float64 {
-	half, difference := len(sorted)/2, 0.0
+// halves returns the difference of the means of the upper and the lower half of sorted numbers, and the standard deviation
+// within the halves.
+func halves(sorted []float64) (difference, spread float64) {
+	half := len(sorted) / 2
+	lower, upper := sorted[:half], sorted[len(sorted)-half:]
+	low, high := mean(lower), mean(upper)
+	squares := 0.0
 	for i := range half {
-		difference += (sorted[len(sorted)-1-i] - sorted[i]) / float64(half)
+		squares += (lower[i]-low)*(lower[i]-low) + (upper[i]-high)*(upper[i]-high)
+	}
+	return high - low, math.Sqrt(squares / float64(2*half))
+}
+
+func mean(numbers []float64) float64 {
+	sum := 0.0
+	for _, n := range numbers {
+		sum += n
 	}
-	return difference
+	return sum / float64(len(numbers))
 }
 
 // Factor returns the speed of an endpoint as a multiple of the usual one, which is also that of an endpoint whose speed is
