--- a/entryd/relay/adapter.go
+++ b/entryd/relay/adapter.go
@@ -11,6 +11,7 @@
 	"lentilstage.dev/decide/shift"
 	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/domain/value"
+	"lentilstage.dev/entryd/gate"
 )
 
 type (
@@ -97,7 +98,7 @@
 		AnswerHint int
 		// Header holds the headers that are forwarded unchanged.
 		Header http.Header
-		Body   []byte
+		Body   *gate.Body
 	}
 
 	// Rollout is an operators' order to move a service to a version.
@@ -141,6 +142,8 @@
 		// names one. LimitMalformed reports that it names one that can't be read.
 		Limit          value.Option[float64]
 		LimitMalformed bool
+		// WarmAt is when the process that sent the response is warm, if it states that.
+		WarmAt value.Option[time.Time]
 	}
 
 	// Codec translates between the platform's messages and the daemon's types.
@@ -160,10 +163,15 @@
 		// Rollout decodes a record of Operators that orders a roll-out. It returns ErrOtherRecordKind for
 		// a record of another kind.
 		Rollout func(r Record) (Rollout, error)
+		// Evacuation returns the data centre whose evacuation the records of Operators with a key order, or withdraw if
+		// they have no value. It returns ErrOtherRecordKind for a key of another kind.
+		Evacuation func(key string) (dataCentre string, err error)
 		// RolloutStatus encodes the record that reports the status of a roll-out to the operators.
 		RolloutStatus func(r Rollout, v shift.Status) (key string, value []byte, err error)
 		// Endpoint decodes a record of Endpoints.
 		Endpoint func(r Record, now time.Time) (setup.Endpoint, error)
+		// CallIDHeader is the header with the request's identifier, which refusals repeat.
+		CallIDHeader string
 	}
 )
 
--- a/entryd/relay/capacity.go
+++ b/entryd/relay/capacity.go
@@ -163,7 +163,7 @@
 			continue
 		}
 		view := p.view(*service.Scaling, now)
-		view.DiscoveryComplete = d.tables.settled(now)
+		view.DiscoveryComplete, view.Evacuated = d.tables.settled(now), d.tables.evacuated()
 		plan := scale.Make(view)
 		c.reportShare(name, p, view)
 		p.orderHistory = plan.State
@@ -223,15 +223,15 @@
 	return p.orderHistory.WithSent(o, now)
 }
 
-// serviceState returns the number of ready endpoints of a service by kind, the engine time that all daemons
-// have placed there, in seconds, and the capacity of those endpoints that limit their requests.
+// serviceState returns the number of ready endpoints of a service by kind outside evacuated data centres, the engine
+// time that all daemons have placed there, in seconds, and the capacity of those endpoints that limit their requests.
 func (t *tables) serviceState(service string, now time.Time) (ready map[scale.Kind]int, work float64, limited []float64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.refresh(now)
 	ready = map[scale.Kind]int{}
 	for _, e := range t.endpoints {
-		if e.Service == service && e.State == setup.Ready {
+		if e.Service == service && t.available(e) {
 			ready[scale.Kind{DataCentre: e.DataCentre, Reclaimable: e.Reclaimable}]++
 		}
 	}
--- a/entryd/relay/digest.go
+++ b/entryd/relay/digest.go
@@ -23,6 +23,8 @@
 	// countsInterval is the pause between messages with the counts of all usage windows. The messages
 	// between them contain the newest window only.
 	countsInterval = time.Second
+	// maxCentres limits the other data centres, whose names messages state.
+	maxCentres = 64
 	// centrePrefix begins the quota keys of other data centres.
 	centrePrefix = "centre/"
 )
@@ -49,6 +51,7 @@
 	m.LoadsTo = math.MaxUint32
 	m.Poison = t.poisonReport(now)
 	m.Limits = t.limitReports(&t.digestLimits, now)
+	m.Evacuations, m.Cold = t.evacuationReports(&t.digestEvacuations, now), t.coldReports(&t.digestCold, now)
 	m.Observed = t.speeds.drain(t.speeds.own)
 	m.Demand = t.demandReports(digestKind, now)
 	m.Counts = newestWindows(t.usage.Own(), allCounts)
@@ -147,6 +150,9 @@
 	t.usage.MergeGroup(m.DataCentre, usageCounts(m.Counts))
 	t.speeds.apply(m.Observed, false, now)
 	p, known := t.centres[m.DataCentre]
+	if !known && len(t.centres) >= maxCentres {
+		return
+	}
 	if known && p.incarnation != m.Daemon+m.Incarnation {
 		p.addCounted(t.pastUsedElsewhere)
 	}
@@ -177,6 +183,7 @@
 	if m.Limits != nil {
 		p.limits = t.applyLimits(m, now)
 	}
+	t.applyCold(m, now)
 	if m.Demand != nil {
 		p.demand, p.demandAt = readDemand(m.Demand, t.wall(now)), now
 	}
@@ -253,6 +260,7 @@
 	t.applySuspects(m, now)
 	t.applyPoison(m, now)
 	t.applyLimits(m, now)
+	t.applyCold(m, now)
 	t.speeds.applyHub(m)
 	t.prefixTable.observe(m.Prefixes, false, now)
 	if !known {
@@ -298,13 +306,20 @@
 		}
 	}
 	for service, o := range p.outcomes {
-		if sum := m.Outcomes[service]; sum.Target == o.Target {
+		if sum, ok := m.Outcomes[service]; ok && sum.Target == o.Target {
 			sum.Good, sum.Bad, sum.Evidence = sum.Good-o.Good, sum.Bad-o.Bad, sum.Evidence.Minus(o.Evidence)
 			m.Outcomes[service] = sum
 		}
 	}
 	for key, count := range p.breaks {
-		if m.Breaks[key] -= count; m.Breaks[key] <= 0 {
+		// Totals without breaks are decoded as a nil map.
+		sum, ok := m.Breaks[key]
+		if !ok {
+			continue
+		}
+		if rest := sum - count; rest > 0 {
+			m.Breaks[key] = rest
+		} else {
 			delete(m.Breaks, key)
 		}
 	}
@@ -427,6 +442,24 @@
 	t.quota.Update(quota.PeerRemoved{Daemon: daemon, Now: now})
 }
 
+// depart removes the state of a daemon whose process has ended as planned, but keeps its counts. remaining is the
+// number of known daemons of its data centre.
+func (t *tables) depart(daemon hubs.Member, remaining int, now time.Time) {
+	t.expire(daemon.Name, now)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if daemon.DataCentre == t.centre {
+		return
+	}
+	if remaining > 0 {
+		t.quota.Update(quota.PeerReduced{Daemon: centrePrefix + daemon.DataCentre, Daemons: remaining, Now: now})
+		return
+	}
+	t.centres[daemon.DataCentre].addCounted(t.pastUsedElsewhere)
+	delete(t.centres, daemon.DataCentre)
+	t.quota.Update(quota.PeerRemoved{Daemon: centrePrefix + daemon.DataCentre, Now: now})
+}
+
 // sums returns a message with the loads and usage of this daemon and its followers, for other hubs.
 // starting reports whether this process has just started.
 func (t *tables) sums(now time.Time, starting, allCounts bool) message {
@@ -435,6 +468,7 @@
 	m := t.sumOf(t.ownMessage(now), starting, t.pastUsed, t.peers, now)
 	m.Prefixes, m.Poison = t.prefixTable.drainCentre(), t.poisonReport(now, t.peers)
 	m.Limits = t.limitReports(&t.sumLimits, now, t.peers)
+	m.Evacuations, m.Cold = t.evacuationReports(&t.sumEvacuations, now), t.coldReports(&t.sumCold, now)
 	m.Demand = t.demandReports(sumKind, now, t.peers)
 	for service, work := range t.peerWork {
 		m.Work[service] += int64(work)
@@ -454,6 +488,7 @@
 	m.Prefixes, m.Work = t.prefixTable.drainAll(), nil
 	m.Poison = t.poisonReport(now, t.peers, t.centres)
 	m.Limits = t.limitReports(&t.totalLimits, now, t.peers, t.centres)
+	m.Evacuations, m.Cold = t.evacuationReports(&t.totalEvacuations, now), t.coldReports(&t.totalCold, now)
 	t.speeds.fill(&m)
 	m.Demand = t.demandReports(totalsKind, now, t.peers, t.centres)
 	t.totalsCursor = m.limitLoads(t.totalsCursor)
--- a/entryd/relay/settings.go
+++ b/entryd/relay/settings.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"lentilstage.dev/decide/intake"
 )
 
 type (
@@ -12,6 +14,9 @@
 	Settings struct {
 		Name       string
 		DataCentre string
+		// Region is the region of DataCentre, Regions those of data centres by name; empty if not known.
+		Region  string
+		Regions map[string]string
 		// Listen is the address for callers, ReadyListen for the balancer's health checks,
 		// ControlListen for other daemons that fetch snapshots, PeerListen for messages between
 		// daemons, MetricsListen for metrics. All are IP:port; the last three may be empty.
@@ -30,6 +35,9 @@
 		ReportsUsage    bool
 		OrdersEndpoints bool
 		Limits          Limits
+		// Instance is what the process may use, and Intake replaces limits that are derived from it.
+		Instance intake.Instance
+		Intake   intake.Overrides
 	}
 
 	// Limits are the platform's limits for the daemons.
@@ -49,6 +57,12 @@
 		RetryWindow    time.Duration
 		// ReportInterval is how often an endpoint renews its registration; 0 if not known.
 		ReportInterval time.Duration
+		// ColdOverrun times the rate that a cold endpoint tolerates plus ColdTolerance is the most requests that it may
+		// get in any one second.
+		ColdOverrun   float64
+		ColdTolerance float64
+		// EvacuationTime is the time from an evacuation's record until no request may be sent there.
+		EvacuationTime time.Duration
 		// CacheReuseWindow is how long a shared prompt part stays useful in a cache after its last use.
 		CacheReuseWindow time.Duration
 	}
@@ -80,6 +94,9 @@
 	if s.Limits.RetryRatio < 0 || s.Limits.RetryRatio > 1 {
 		problems = append(problems, "RetryRatio must be from 0 to 1")
 	}
+	if _, err := intake.Derive(s.Instance, s.Intake); err != nil {
+		problems = append(problems, err.Error())
+	}
 	if len(problems) > 0 {
 		return eris.Wrap(ErrInvalidSettings, strings.Join(problems, "; "))
 	}
--- a/entryd/relay/tables_test.go
+++ b/entryd/relay/tables_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"lentilstage.dev/decide/health"
+	"lentilstage.dev/decide/homes"
+	"lentilstage.dev/decide/roster"
 	"lentilstage.dev/domain/setup"
 )
 
@@ -135,11 +137,11 @@
 	if got := place(toNew); got != "e3" {
 		t.Errorf("placed at %q, want the new version", got)
 	}
-	if opensAt := tables.opensAt("pool", now); !opensAt.IsZero() {
+	if opensAt := tables.opensAt("pool", homes.Rule{}, now); !opensAt.IsZero() {
 		t.Errorf("the service takes requests at %v although the new version takes them now", opensAt)
 	}
 	tables.recordRejection(endpoints["e3"], now.Add(3*time.Second), now)
-	if opensAt := tables.opensAt("pool", now); !opensAt.Equal(now.Add(time.Second)) {
+	if opensAt := tables.opensAt("pool", homes.Rule{}, now); !opensAt.Equal(now.Add(time.Second)) {
 		t.Errorf("the service takes requests at %v, want the first endpoint's time", opensAt)
 	}
 }
@@ -152,8 +154,11 @@
 	endpoint := setup.Endpoint{ID: "e1", Service: "pool", Address: "127.0.0.1:1", Slots: 4, State: setup.Ready}
 	tables.putEndpoint(Record{Key: "e1", Offset: 1}, endpoint, now)
 	tables.refresh(now)
-	if !tables.recordRejection(endpoint, now.Add(time.Second), now) || !tables.rejects("e1", now) {
-		t.Error("the rejection has no effect")
+	if !tables.recordRejection(endpoint, now.Add(time.Second), now) {
+		t.Error("the rejection is no change")
+	}
+	if reason, rejects := tables.rejects(endpoint, now); !rejects || reason != roster.Rejecting {
+		t.Errorf("rejects: %v (%s) after the rejection", rejects, reason)
 	}
 	if tables.stale {
 		t.Error("the rejection makes the derived tables out of date")
