--- a/entryd/relay/exchange_test.go
+++ b/entryd/relay/exchange_test.go
@@ -256,6 +256,9 @@
 	m.Sum, m.DataCentre = true, "b"
 	f.Add([]byte(encode(&Daemon{}, m)))
 	f.Add([]byte(encode(&Daemon{}, message{Daemon: "entry-3", Digest: true, Follow: true, LoadsFrom: 7, LoadsTo: 3})))
+	f.Add([]byte(encode(&Daemon{}, message{
+		Daemon: "entry-3", Digest: true, Observed: speedTallies{1, 2, 3, 4, 5, 6}, Speeds: speedLogs{1, 2, 3, 4, 5}, SpeedsTo: math.MaxUint32,
+	})))
 	f.Add([]byte(encode(&Daemon{}, message{Daemon: "entry-3", Probe: true, Referrals: []referral{{Name: "x", SeenAgeMS: math.MinInt64}}})))
 	f.Add([]byte(encode(&Daemon{}, message{Daemon: "entry-3", Digest: true, Poison: &poison.Report{
 		Crashes:     map[poison.Key]poison.CrashReport{1: {Depth: 2, AgeMS: map[poison.Key]int64{7: 100}}},
