--- a/decide/share/supply.go
+++ b/decide/share/supply.go
@@ -23,17 +23,18 @@
 )
 
 // With returns the estimate after an observation of the work per second that callers have offered and that was refused,
-// at a number of ready endpoints. While next to nothing is refused, the observation says nothing.
-func (s Supply) With(offered, refused float64, endpoints int, now time.Time) Supply {
+// at ready endpoints of a total speed, in multiples of the usual one. While next to nothing is refused, the observation
+// says nothing.
+func (s Supply) With(offered, refused, endpoints float64, now time.Time) Supply {
 	elapsed := now.Sub(s.updatedAt)
 	s.updatedAt = now
-	if endpoints == 0 || offered <= 0 || refused < shortRefused*offered {
+	if endpoints <= 0 || offered <= 0 || refused < shortRefused*offered {
 		return s
 	}
-	each := min(max((offered-refused)/float64(endpoints), minSupply), maxSupply)
+	each := min(max((offered-refused)/endpoints, minSupply), maxSupply)
 	s.learned += (each - 1 - s.learned) * (1 - math.Exp(-elapsed.Seconds()/supplyTime.Seconds()))
 	return s
 }
 
-// Capacity returns the work per second that a number of endpoints complete.
-func (s Supply) Capacity(endpoints int) float64 { return (1 + s.learned) * float64(endpoints) }
+// Capacity returns the work per second that endpoints of a total speed complete.
+func (s Supply) Capacity(endpoints float64) float64 { return (1 + s.learned) * endpoints }
--- a/entryd/relay/demand.go
+++ b/entryd/relay/demand.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -9,6 +10,7 @@
 	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/share"
+	"lentilstage.dev/domain/setup"
 )
 
 type (
@@ -19,6 +21,8 @@
 		schedule         *admit.Schedule
 		supply           share.Supply
 		division         *share.Division
+		// capacity is the work per second that the endpoints completed at the last tick.
+		capacity float64
 	}
 
 	// demandShare is the demand of one or more daemons, in seconds of endpoint time.
@@ -125,7 +129,7 @@
 	s.spent = t.patience.Spent(key.route+"\x00"+key.account, waitsUntil.Sub(now), now)
 	s.returned = admit.Request{Spent: s.spent}.Returns()
 	if d, known := t.demand[key.service]; known {
-		s.expected = d.schedule.Expected(admit.Outlook{Capacity: d.supply.Capacity(t.readyEndpoints(key.service))}, t.wall(now))
+		s.expected = d.schedule.Expected(admit.Outlook{Capacity: d.capacity}, t.wall(now))
 		if d.division.Short() {
 			account := shortID(key.account)
 			s.division, s.share = d.division.Take(account, s.returned), d.division.Fraction(account)
@@ -166,15 +170,17 @@
 	return p
 }
 
-// readyEndpoints returns the number of endpoints of a service that may get requests. The caller holds the lock.
-func (t *tables) readyEndpoints(service string) int {
-	count := 0
+// readySpeed returns the sum of the speeds of the endpoints of a service that may get requests, as multiples of the usual
+// one. The caller holds the lock.
+func (t *tables) readySpeed(service string) float64 {
+	sum := 0.0
 	for _, e := range t.endpoints {
 		if e.Service == service && t.available(e) {
-			count++
+			// It is 0 if the endpoints don't differ.
+			sum += cmp.Or(t.speeds.factor(e), 1)
 		}
 	}
-	return count
+	return sum
 }
 
 // outlook returns what is known of the work of a service on all daemons. The caller holds the lock.
@@ -187,7 +193,7 @@
 	for _, rate := range t.othersDemand(service, now).offered {
 		offered += rate
 	}
-	return admit.Outlook{Capacity: d.supply.Capacity(t.readyEndpoints(service)), Offered: offered}
+	return admit.Outlook{Capacity: d.supply.Capacity(t.readySpeed(service)), Offered: offered}
 }
 
 // othersDemand returns the demand of the other daemons. The caller holds the lock.
@@ -288,7 +294,8 @@
 		own := t.ownShare(service, now)
 		own.promised = nil
 		all.add(own, 1)
-		d.supply = d.supply.With(outlook.Offered, all.refused, t.readyEndpoints(service), now)
+		d.supply = d.supply.With(outlook.Offered, all.refused, t.readySpeed(service), now)
+		d.capacity = outlook.Capacity
 		d.schedule.Update(outlook, t.wall(now))
 		if d.division.Update(share.Load{Offered: all.offered, Refused: all.refused, Capacity: outlook.Capacity}, now) {
 			t.shortageChanges = append(t.shortageChanges, shortageChange{
--- a/entryd/relay/demand_test.go
+++ b/entryd/relay/demand_test.go
@@ -167,6 +167,9 @@
 	}
 	run(40*time.Second, 1, 0)
 	for i, d := range daemons {
+		if got := d.demand["pool"].capacity; got != 4 {
+			t.Errorf("daemon %d expects a capacity of %.1f, want that of 4 endpoints", i, got)
+		}
 		if s := d.standing(demandKeyOf("surging"), now.Add(3*time.Second), now); s.division != share.Undivided || s.urgentTarget != 0 {
 			t.Errorf("daemon %d divides without a shortage: %+v", i, s)
 		}
--- a/lsbench/shortage.go
+++ b/lsbench/shortage.go
@@ -465,7 +465,7 @@
 
 // outlook returns what a daemon knows of the load of all.
 func (m *shortageModel) outlook(c *shortageDaemon) admit.Outlook {
-	o := admit.Outlook{Capacity: c.supply.Capacity(len(m.endpointIDs))}
+	o := admit.Outlook{Capacity: c.supply.Capacity(float64(len(m.endpointIDs)))}
 	for _, rate := range c.meter.Rates(m.now) {
 		o.Offered += rate
 	}
@@ -502,7 +502,7 @@
 		c := m.control[name]
 		o := m.outlook(c)
 		refused := c.others.refused + c.refused.Rates(m.now)[""]
-		c.supply = c.supply.With(o.Offered, refused, len(m.endpointIDs), m.now)
+		c.supply = c.supply.With(o.Offered, refused, float64(len(m.endpointIDs)), m.now)
 		c.schedule.Update(o, m.now)
 		c.division.Update(share.Load{Offered: m.offered(c), Refused: refused, Capacity: o.Capacity}, m.now)
 		r := shortageReport{offered: c.meter.Rates(m.now), refused: c.refused.Rates(m.now)[""], promised: c.schedule.Own()}
