relay, lsbench: bounded accounts in messages; daemon queues simulated

A message names the 64 accounts of a service that offer most and adds up the others. lsbench shortage has a variant in which requests wait at their daemons for an eighth of their target. Run: go vet, go test ./entryd/relay -run 'Demand|Shortage'

--- a/entryd/relay/demand.go
+++ b/entryd/relay/demand.go
@@ -83,6 +83,9 @@
 	// demandTTL is how long a peer's demand holds without a newer one. After it, this daemon's own demand stands for
 	// that of each daemon.
 	demandTTL = 2 * time.Second
+	// maxReportedAccounts limits the accounts of a service in a message; otherAccounts stands for the others.
+	maxReportedAccounts = 64
+	otherAccounts       = 0
 	// plainRequestSeconds is the time that a request to a plain service occupies a slot.
 	plainRequestSeconds = 0.05
 )
@@ -387,13 +390,19 @@
 	return reports
 }
 
-// newDemandReport returns a demand for a message.
+// newDemandReport returns a demand for a message. The accounts that offer least are added up if there are many.
 func newDemandReport(s demandShare, wall time.Time) demandReport {
 	r := demandReport{Offered: make(map[uint32]int, len(s.offered)), Refused: toMilliseconds(s.refused)}
 	r.FirstSlot, r.Promised = admit.Pack(s.promised, wall)
-	for account, rate := range s.offered {
-		if ms := toMilliseconds(rate); ms > 0 {
-			r.Offered[account] = ms
+	accounts := slices.SortedFunc(maps.Keys(s.offered), func(a, b uint32) int {
+		return cmp.Or(cmp.Compare(s.offered[b], s.offered[a]), cmp.Compare(a, b))
+	})
+	for i, account := range accounts {
+		if i >= maxReportedAccounts {
+			account = otherAccounts
+		}
+		if ms := toMilliseconds(s.offered[accounts[i]]); ms > 0 {
+			r.Offered[account] += ms
 		}
 	}
 	return r
--- a/entryd/relay/demand_test.go
+++ b/entryd/relay/demand_test.go
@@ -194,3 +194,20 @@
 		}
 	}
 }
+
+// TestDemandReportIsBounded guards against messages that grow with the number of accounts, and against offered work that
+// is lost with those that are left out.
+func TestDemandReportIsBounded(t *testing.T) {
+	s := newDemandShare()
+	for account := range uint32(1000) {
+		s.offered[account+1] = float64(account+1) / 1000
+	}
+	r := newDemandReport(s, time.Unix(1000, 0))
+	sum := 0
+	for _, ms := range r.Offered {
+		sum += ms
+	}
+	if len(r.Offered) != maxReportedAccounts+1 || sum != 500_500 || r.Offered[1000] != 1000 {
+		t.Errorf("%d accounts with %d ms in a message, want %d with 500500", len(r.Offered), sum, maxReportedAccounts+1)
+	}
+}
--- a/lsbench/shortage.go
+++ b/lsbench/shortage.go
@@ -110,8 +110,9 @@
 	// shortagePolicy is a way to deal with a shortage.
 	shortagePolicy struct {
 		name string
-		// scheduled takes the retry times from schedules, divided divides the capacity between accounts and kinds.
-		scheduled, divided bool
+		// scheduled takes the retry times from schedules, divided divides the capacity between accounts and kinds, and
+		// queued lets requests that no endpoint can take wait at their daemons for a moment.
+		scheduled, divided, queued bool
 	}
 
 	// shortageModel simulates a script. Callers send a refused request again once, to a random daemon.
@@ -150,6 +151,10 @@
 		refusals int
 		// attemptAt is the time of the last attempt in milliseconds.
 		attemptAt float64
+		// waiting is set while the request waits at a daemon, until waitUntil.
+		waiting   bool
+		standing  share.Standing
+		waitUntil time.Time
 	}
 
 	// shortageSummary summarizes the outcomes of a run as parts of all requests.
@@ -166,6 +171,14 @@
 	}
 )
 
+const (
+	// queueDivisor divides the target: for so long, a request may wait at a daemon.
+	queueDivisor = 8
+	// queuePoll is how often a waiting request is offered to the endpoints again. A daemon would do so when one of its
+	// own requests ends or a digest arrives, which is less often.
+	queuePoll = 10 * time.Millisecond
+)
+
 // leftSpread is the part by which the times that callers leave for their requests differ, as in recorded loads.
 const leftSpread = 0.15
 
@@ -173,6 +186,7 @@
 	{name: "as before"},
 	{name: "scheduled retries", scheduled: true},
 	{name: "and divided", scheduled: true, divided: true},
+	{name: "and queued", scheduled: true, divided: true, queued: true},
 }
 
 // Name returns the command's name.
@@ -409,9 +423,12 @@
 func (m *shortageModel) offer(i int, name string) {
 	a, d, c := m.load.Arrivals[i], m.daemons[name], m.control[name]
 	deadline := modelStart.Add(fromMilliseconds(a.At + float64(a.Left)))
-	m.calls[i].attemptAt = float64(m.elapsed().Microseconds()) / 1000
-	work := m.work(a)
-	c.meter.Add(a.Account, work, m.now)
+	work, call := m.work(a), &m.calls[i]
+	if !call.waiting {
+		call.attemptAt = float64(m.elapsed().Microseconds()) / 1000
+		call.waitUntil = m.now.Add(fromMilliseconds(float64(a.Target) / queueDivisor))
+		c.meter.Add(a.Account, work, m.now)
+	}
 	request := choice.Request{
 		Prompt: a.Prompt, Answer: max(a.Answer, 1), Model: true, Target: float64(a.Target), Pace: m.pace.Estimate(),
 	}
@@ -422,7 +439,10 @@
 	}
 	standing, urgentTarget := share.Undivided, time.Duration(0)
 	if m.policy.divided {
-		standing = c.division.Take(accountNumber(a.Account), admit.Request{Spent: spent}.Returns())
+		if !call.waiting {
+			call.standing = c.division.Take(accountNumber(a.Account), admit.Request{Spent: spent}.Returns())
+		}
+		standing = call.standing
 		if c.division.Short() {
 			urgentTarget = m.urgentTarget(a.Rank)
 		}
@@ -436,10 +456,17 @@
 	request.Admits = func(picked choice.Picked) bool { return decide(picked).Admitted }
 	picked, ok := choice.Pick(request, m.candidates(d, a), m.random.Float64)
 	if ok && request.Admits(picked) {
+		call.waiting = false
 		m.results[i].attempts++
 		m.enqueue(i, d, m.engines[picked.Candidate.ID], request, picked)
 		return
 	}
+	if m.policy.queued && m.now.Before(call.waitUntil) {
+		call.waiting = true
+		m.after(min(queuePoll, call.waitUntil.Sub(m.now)), func() { m.offer(i, name) })
+		return
+	}
+	call.waiting = false
 	c.refused.Add("", work, m.now)
 	if m.calls[i].refusals++; m.calls[i].refusals > 1 {
 		return
--- a/lsbench/shortage_test.go
+++ b/lsbench/shortage_test.go
@@ -48,7 +48,7 @@
 	for _, s := range testShortages(t) {
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
-			summaries := runShortage(s, shortagePolicies[1:])
+			summaries := runShortage(s, shortagePolicies[1:3])
 			undivided, divided := summaries[0], summaries[1]
 			t.Logf("kinds %.3f, accounts %.3f, value %.4f instead of %.4f", divided.kinds, divided.accounts, divided.value, undivided.value)
 			served := divided.inTime + divided.late
