--- a/entryd/relay/drain_test.go
+++ b/entryd/relay/drain_test.go
@@ -119,7 +119,7 @@
 			d.tables.putEndpoint(Record{Key: e.ID, Offset: 6, Value: []byte("{}")}, e, now)
 		},
 		"its data centre is evacuated": func(d *Daemon, e setup.Endpoint, now time.Time) {
-			d.tables.recordEvacuation(e.DataCentre, Record{Key: "evacuate/" + e.DataCentre, Offset: 1, Value: []byte("{}")}, now)
+			d.tables.recordEvacuation(e.DataCentre, Record{Key: evacuationKey + e.DataCentre, Offset: 1, Value: []byte("{}")}, now)
 		},
 		"it rejects requests": func(d *Daemon, e setup.Endpoint, now time.Time) {
 			d.tables.recordRejection(e, now.Add(time.Minute), now)
--- a/entryd/relay/evacuation_test.go
+++ b/entryd/relay/evacuation_test.go
@@ -14,7 +14,7 @@
 )
 
 // evacuationKey is the key prefix of the tests' evacuations.
-const evacuationKey = "evacuate/"
+const evacuationKey = "evacuation/"
 
 // evacuationCodec decodes the keys of the tests' evacuations.
 func evacuationCodec(key string) (string, error) {
--- a/entryd/relay/logs.go
+++ b/entryd/relay/logs.go
@@ -137,7 +137,7 @@
 			byReason[c.Reason] = append(byReason[c.Reason], e.ID)
 		} else {
 			logger.Info("Endpoint changed.", "Reason", c.Reason, "Endpoint", e.ID, "Service", e.Service,
-				"Address", e.Address, "DataCentre", e.DataCentre, "Version", e.Version, "State", e.State, "Reclaimable", e.Reclaimable)
+				"Address", e.Address, "DataCentre", e.DataCentre, "Version", e.Version, "State", e.State, "Reclaimable", e.Reclaimable, "Cold", !e.WarmAt.IsZero())
 		}
 		if c.Reason != roster.Joined && c.Reason != roster.Updated {
 			d.pool.closeIdle(e.Address)
