entry: requests are refused at once when all their endpoints are evacuated; relay: news of cold endpoints travels faster

A hub passed on what an endpoint had said of being cold only with the next repetition, up to a second later; now its next messages have the news.

Run: go test ./entryd/entry ./entryd/relay; scripts/lint.

--- a/entryd/entry/calls.go
+++ b/entryd/entry/calls.go
@@ -54,7 +54,7 @@
 
 // waitForPlainEndpoint returns a ready endpoint of a call's route if the call may be sent by this
 // daemon's table. It waits up to plainEndpointTimeout, because a call that is abandoned has used up
-// its key.
+// its key, unless all endpoints are in evacuated data centres.
 func (d *Daemon) waitForPlainEndpoint(request wire.CallRequest) (address, version string, fenced, ok bool) {
 	deadline := d.base.Now().Add(plainEndpointTimeout)
 	for {
@@ -63,6 +63,9 @@
 			if ok {
 				return chosen.Instance.Address, chosen.Version, chosen.Fenced, true
 			}
+			if d.endpoints.allEvacuated(state, state.Routes[request.Route]) {
+				return "", "", false, false
+			}
 		}
 		if !d.base.Now().Before(deadline) {
 			return "", "", false, false
--- a/entryd/entry/daemon.go
+++ b/entryd/entry/daemon.go
@@ -13,6 +13,7 @@
 
 	"lentilstage.dev/decide/config"
 	"lentilstage.dev/domain/codes"
+	"lentilstage.dev/domain/table"
 	"lentilstage.dev/wire/wire"
 )
 
@@ -265,6 +266,15 @@
 		WithRetryAt(d.base.Now().Add(retryDelay))
 }
 
+// checkEvacuation returns a refusal if all endpoints of a route are in evacuated data centres, or nil.
+func (d *Daemon) checkEvacuation(r table.Route) *codes.Refusal {
+	if !d.endpoints.allEvacuated(d.control.State(), r) {
+		return nil
+	}
+	return codes.Refuse(codes.NoEndpoint, "all endpoints of route %s are in evacuated data centres", r.Name).
+		WithRetryAt(d.base.Now().Add(retryDelay))
+}
+
 // call runs a plain call.
 func (d *Daemon) call(call wire.CallRequest, permit config.Permit, repeatable bool) wire.CallReply {
 	if repeatable {
--- a/entryd/entry/endpoints.go
+++ b/entryd/entry/endpoints.go
@@ -398,6 +398,27 @@
 	return best, found
 }
 
+// allEvacuated reports whether the route has live endpoints, and all of them are in evacuated data centres.
+func (e *endpoints) allEvacuated(state table.State, r table.Route) bool {
+	if len(state.EvacuatedCentres()) == 0 {
+		return false
+	}
+	routes := map[string]table.Route{r.Name: r}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	serving := 0
+	for _, i := range e.listed {
+		if i.State != wire.Live || len(servedRoutes(routes, i.Versions)) == 0 {
+			continue
+		}
+		if !state.Evacuated(i.DataCentre) {
+			return false
+		}
+		serving++
+	}
+	return serving > 0
+}
+
 // beginRequest and endRequest count the requests in flight at an instance.
 func (e *endpoints) beginRequest(id string) {
 	e.mu.Lock()
--- a/entryd/entry/evacuation_test.go
+++ b/entryd/entry/evacuation_test.go
@@ -37,4 +37,16 @@
 	if engine, plain := chosen(state); engine || plain {
 		t.Errorf("engine chosen: %v, plain service chosen: %v, want none", engine, plain)
 	}
+	served := table.Route{Name: "chat", Versions: []table.WeightedVersion{{Version: "v1", Weight: 1}}}
+	if !e.allEvacuated(state, served) {
+		t.Error("a request waits although all endpoints of its route are evacuated")
+	}
+	unserved := table.Route{Name: "draft", Versions: []table.WeightedVersion{{Version: "v9", Weight: 1}}}
+	if e.allEvacuated(state, unserved) || e.allEvacuated(table.NewState(), served) {
+		t.Error("a route counts as evacuated that has no endpoint, or none there")
+	}
+	e.listed["engine-2"] = wire.Instance{ID: "engine-2", DataCentre: "pos-2", Role: wire.RoleEngine, State: wire.Live, Versions: []string{"v1"}}
+	if e.allEvacuated(state, served) {
+		t.Error("a request is refused although an endpoint is left")
+	}
 }
--- a/entryd/entry/plain.go
+++ b/entryd/entry/plain.go
@@ -102,7 +102,9 @@
 			}
 			chosen, ok := d.endpoints.choosePlain(state, state.Routes[call.Route], tried)
 			if !ok {
-				refusal = codes.Refuse(codes.NoEndpoint, "no endpoint of route %s is ready", call.Route)
+				if refusal = d.checkEvacuation(state.Routes[call.Route]); refusal == nil {
+					refusal = codes.Refuse(codes.NoEndpoint, "no endpoint of route %s is ready", call.Route)
+				}
 			}
 			return chosen, refusal
 		},
--- a/entryd/entry/server.go
+++ b/entryd/entry/server.go
@@ -196,7 +196,7 @@
 	if superseded := c.Get(wire.HeaderSupersedes); superseded != "" {
 		s.daemon.supersede(permit.Account, superseded)
 	}
-	at, refusal := s.open(c, permit, record, chat, deadline.Add(-time.Duration(route.FirstTokenMs)*time.Millisecond))
+	at, refusal := s.open(c, permit, route, record, chat, deadline.Add(-time.Duration(route.FirstTokenMs)*time.Millisecond))
 	if refusal != nil {
 		return refusal
 	}
@@ -208,7 +208,7 @@
 }
 
 // open finds a request that the caller has sent before, or opens a new one.
-func (s *server) open(c *fiber.Ctx, permit config.Permit, record wire.HeldRequest, chat wire.ChatRequest, startBy time.Time) (located, *codes.Refusal) {
+func (s *server) open(c *fiber.Ctx, permit config.Permit, route table.Route, record wire.HeldRequest, chat wire.ChatRequest, startBy time.Time) (located, *codes.Refusal) {
 	if c.Get(wire.HeaderRequestID) != "" {
 		at, refusal := s.daemon.locator.locate(record.Account, record.RequestID, hold.Position{})
 		if refusal == nil && at.ownedRequest != nil && at.ownedRequest.fingerprint != record.Fingerprint {
@@ -221,6 +221,9 @@
 	if refusal := s.daemon.checkHolderAvailable(); refusal != nil {
 		return located{}, refusal
 	}
+	if refusal := s.daemon.checkEvacuation(route); refusal != nil {
+		return located{}, refusal
+	}
 	opened, refusal := s.daemon.requests.open(permit, record, chat, startBy)
 	return located{ownedRequest: opened}, refusal
 }
--- a/entryd/relay/cold.go
+++ b/entryd/relay/cold.go
@@ -169,7 +169,12 @@
 		if r.AgeMS < 0 || r.LeftMS < 0 || r.LeftMS > maxColdTime.Milliseconds() || !t.shortIDs[id] {
 			continue
 		}
-		t.applyWarmth(id, warmth{warmAt: now.Add(time.Duration(r.LeftMS) * time.Millisecond), saidAt: ago(r.AgeMS, now)}, now)
+		wasCold := now.Before(t.warmth[id].warmAt)
+		said := warmth{warmAt: now.Add(time.Duration(r.LeftMS) * time.Millisecond), saidAt: ago(r.AgeMS, now)}
+		if t.applyWarmth(id, said, now) && now.Before(said.warmAt) != wasCold {
+			// A hub passes the news on with its next messages.
+			t.sumCold, t.totalCold = time.Time{}, time.Time{}
+		}
 	}
 }
 
