gate: refused requests that linger give way; idle connections end without losing a request

net/http did not keep a connection with an unread body open for the response, since the handler's request had another body. It does now, so such connections count as without progress and give way first. A connection that was shed while idle answers a request that was read at this moment with 503.

--- a/entryd/gate/body.go
+++ b/entryd/gate/body.go
@@ -74,14 +74,31 @@
 		c.beginBody(r)
 		if class != intake.Callers {
 			next.ServeHTTP(w, r)
+			c.endHandler(r)
 			return
 		}
 		closing := &closingWriter{ResponseWriter: w, conn: c}
 		next.ServeHTTP(closing, r)
 		closing.announce()
+		c.endHandler(r)
 	})
 }
 
+// endHandler lets a connection whose body was not read give way to others at once. net/http keeps it open for half a
+// second, so that the caller can read the response.
+func (c *Conn) endHandler(r *http.Request) {
+	if body, ok := r.Body.(*bodyReader); ok {
+		// net/http keeps the connection open only if it finds its own body unread.
+		r.Body = body.ReadCloser
+	}
+	if c.phase != bodyPhase {
+		return
+	}
+	c.lingering.Store(true)
+	stalled := time.Now().Add(-c.gate.options.Limits.StallTime)
+	c.gate.update(func() { c.gate.account.Reading(c.holder, stalled) })
+}
+
 // beginBody takes the end of the body from the head that net/http has parsed.
 func (c *Conn) beginBody(r *http.Request) {
 	if r.ContentLength == 0 {
--- a/entryd/gate/conn.go
+++ b/entryd/gate/conn.go
@@ -60,6 +60,8 @@
 		// shedReason is why the connection was shed; nil if it was not.
 		shedReason atomic.Pointer[intake.Reason]
 		closed     atomic.Bool
+		// lingering is set once a handler has ended without having read the body.
+		lingering atomic.Bool
 
 		// waitLeft is kept here, so that no request allocates it; only the goroutine that waits for the caller to
 		// leave calls it. aborted is set while net/http ends that wait.
@@ -499,10 +501,11 @@
 	return err
 }
 
-// shed ends a connection to make room. A request whose body is being read is refused by its handler.
+// shed ends a connection to make room. A request whose body is being read is refused by its handler, and one that is read
+// from an idle connection at this moment by the account, which has forgotten the connection.
 func (c *Conn) shed(s intake.Shed) {
 	c.shedReason.Store(&s.Reason)
-	if s.Phase == intake.Reading {
+	if (s.Phase == intake.Reading || s.Phase == intake.Idle) && !c.lingering.Load() {
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		return
 	}
--- a/entryd/gate/gate_test.go
+++ b/entryd/gate/gate_test.go
@@ -345,6 +345,21 @@
 	}
 }
 
+// TestRefusedBodiesGiveWay guards against refused requests whose connections linger, with unread bodies, and keep
+// others out.
+func TestRefusedBodiesGiveWay(t *testing.T) {
+	limits := testLimits(t)
+	limits.Connections[intake.Callers] = 20
+	b := newTestbed(t, limits, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
+	for range 100 {
+		c := b.dial()
+		b.write(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\nabc")
+		if response, _ := b.response(bufio.NewReader(c)); response.StatusCode != http.StatusNotFound {
+			t.Fatalf("status %d", response.StatusCode)
+		}
+	}
+}
+
 // TestSlowReader guards against a caller that sends requests and reads no responses: neither its requests nor its
 // responses may pile up, and its connection ends.
 func TestSlowReader(t *testing.T) {
