--- a/entryd/relay/demand.go
+++ b/entryd/relay/demand.go
@@ -9,6 +9,7 @@
 	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/share"
+	"lentilstage.dev/domain/setup"
 )
 
 type (
