entry: what callers hold is bounded

Cause: the HTTP library held every body before any handler ran, also at paths without a route, and both accept loops ended the process with exit code 1 as soon as no descriptor was left.

Connections, heads and bodies are accounted for by decide/intake (entry/callers). entryd/gate serves net/http and can't be used with fasthttp, which reads requests itself. Handlers that need a body read it within the account, after authentication; others close the connection after their response. Encoded bodies are decoded up to the limit of a body. A body or head for which there is no room is refused with 503 NoRoom, one that makes no progress with 408 BodyTooSlow. The accept loops wait when no descriptor is left.

New settings: MemoryMB, MaxDescriptors, CallerConnections, CallerHeadKiB, CallerBodyKiB, CallerStallMilliseconds, CallerReadMilliseconds. Values that leave no room for a single request are errors with the line and the smallest value; entryd check prints the limits. With MemoryMB, the soft memory limit of the runtime is set.

--- a/domain/codes/codes.go
+++ b/domain/codes/codes.go
@@ -64,6 +64,7 @@
 	RequestIDReused    Code = 1008
 	Quarantined        Code = 1009
 	BodyTooLarge       Code = 1010
+	BodyTooSlow        Code = 1012
 	KeyFormat          Code = 1011
 	AccountLimit       Code = 2001
 	QueueFull          Code = 2002
@@ -71,6 +72,7 @@
 	Superseded         Code = 2004
 	RetryBudget        Code = 2005
 	DeadlinePassed     Code = 2006
+	NoRoom             Code = 2007
 	NoEndpoint         Code = 3001
 	ConfigUnknown      Code = 3002
 	Draining           Code = 3003
@@ -102,10 +104,12 @@
 	RequestIDReused:    {"RequestIDReused", http.StatusUnprocessableEntity, NotRun, "The Request-Id was used before with another body."},
 	Quarantined:        {"Quarantined", http.StatusUnprocessableEntity, NotRun, "This request crashed several endpoints and is not run again."},
 	BodyTooLarge:       {"BodyTooLarge", http.StatusRequestEntityTooLarge, NotRun, "The request body is over the limit."},
+	BodyTooSlow:        {"BodyTooSlow", http.StatusRequestTimeout, NotRun, "The request body made no progress."},
 	AccountLimit:       {"AccountLimit", http.StatusTooManyRequests, NotRun, "The account is over its share or cap."},
 	QueueFull:          {"QueueFull", http.StatusTooManyRequests, NotRun, "The queue for this priority is full."},
 	DeadlineTooShort:   {"DeadlineTooShort", http.StatusServiceUnavailable, NotRun, "The request can't meet its deadline."},
 	DeadlinePassed:     {"DeadlinePassed", http.StatusGatewayTimeout, NotRun, "The deadline passed before the request was sent."},
+	NoRoom:             {"NoRoom", http.StatusServiceUnavailable, NotRun, "The daemon has no room for the request body at present."},
 	Superseded:         {"Superseded", http.StatusConflict, NotRun, "A newer request of the caller replaced this one; its answer is not needed."},
 	RetryBudget:        {"RetryBudget", http.StatusServiceUnavailable, NotRun, "The retry budget is used up."},
 	NoEndpoint:         {"NoEndpoint", http.StatusServiceUnavailable, NotRun, "No endpoint of the route is ready."},
--- a/entryd/entry/daemon.go
+++ b/entryd/entry/daemon.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lentilstage.dev/decide/config"
+	"lentilstage.dev/decide/intake"
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/wire/wire"
 )
@@ -42,6 +43,7 @@
 		connections atomic.Int64
 		// forwarded counts the unrepeatable calls in progress for other daemons.
 		forwarded    atomic.Int64
+		callers      *callers
 		listener     net.Listener
 		peerListener net.Listener
 	}
@@ -140,11 +142,17 @@
 
 // listen opens the listeners for callers and for peers.
 func (d *Daemon) listen() error {
-	var err error
-	if d.listener, err = net.Listen("tcp", d.base.Settings.Listen); err != nil {
+	limits, err := d.base.Settings.CallerLimits()
+	if err != nil {
+		return err
+	}
+	d.callers = newCallers(d.base, limits)
+	d.base.Logger.WithName("callers").Info("Limits.", "Limits", DescribeLimits(limits),
+		"MemoryKnown", d.base.Settings.MemoryMB > 0, "DescriptorsKnown", d.base.Settings.MaxDescriptors > 0)
+	if d.listener, err = d.callers.listen(d.base.Settings.Listen, intake.Callers); err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	if d.peerListener, err = net.Listen("tcp", d.base.Settings.PeerListen); err != nil {
+	if d.peerListener, err = d.callers.listen(d.base.Settings.PeerListen, intake.Control); err != nil {
 		_ = d.listener.Close()
 		return eris.Wrap(err, "listen for peers")
 	}
--- a/entryd/entry/operator.go
+++ b/entryd/entry/operator.go
@@ -33,7 +33,7 @@
 	operator.Get("/table", func(c *fiber.Ctx) error {
 		return c.JSON(wire.TableView{Process: s.base.Settings.Name, State: s.daemon.control.State()})
 	})
-	operator.Post("/changes", s.postChange)
+	operator.Post("/changes", s.readBody, s.postChange)
 	operator.Get("/status", func(c *fiber.Ctx) error { return c.JSON(s.daemon.status()) })
 	operator.Get("/timeline", s.getTimeline)
 }
--- a/entryd/entry/peers.go
+++ b/entryd/entry/peers.go
@@ -84,6 +84,9 @@
 		p.logger.Info("Rejected a peer connection.", "address", conn.RemoteAddr().String(), "error", err.Error())
 		return
 	}
+	if bounded, ok := conn.(*boundedConn); ok {
+		bounded.trust()
+	}
 	p.server.ServeConn(conn)
 }
 
--- a/entryd/entry/server.go
+++ b/entryd/entry/server.go
@@ -29,11 +29,6 @@
 		logger logr.Logger
 		app    *fiber.App
 	}
-
-	// writeListener and writeConn set a deadline on each write. The library's own write timeout
-	// covers a whole response and would cut off long streams.
-	writeListener struct{ net.Listener }
-	writeConn     struct{ net.Conn }
 )
 
 const (
@@ -68,38 +63,26 @@
 		Immutable:    true,
 		BodyLimit:    d.base.Settings.MaxBodyKiB << 10,
 		ErrorHandler: s.handleError,
+		// Handlers read bodies, within the account of what callers hold. Without this, the library holds every
+		// body before any handler runs, also at paths that need none.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
 	})
+	s.app.Use(s.countRequest)
 	s.app.Get("/livez", func(c *fiber.Ctx) error { return c.SendString("ok\n") })
 	s.app.Get("/readyz", s.ready)
 	s.app.Get("/metrics", s.metrics)
 	caller := s.app.Group("/v1", s.countCaller, s.authenticateCaller)
-	caller.Post("/chat/completions", s.postChat)
+	caller.Post("/chat/completions", s.readBody, s.postChat)
 	caller.Get("/requests/:id/events", s.getEvents)
-	s.app.All("/app/:route/*", s.authenticateCaller, s.plainCall)
+	s.app.All("/app/:route/*", s.authenticateCaller, s.readBody, s.plainCall)
 	s.routeOperators()
 	return s
 }
 
 // serve serves requests until the listener is closed.
 func (s *server) serve(listener net.Listener) error {
-	return s.app.Listener(writeListener{listener})
-}
-
-// Accept returns the next connection with a deadline on each write.
-func (l writeListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return writeConn{conn}, nil
-}
-
-// Write writes the data within writeTimeout.
-func (c writeConn) Write(data []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(data)
+	return s.app.Listener(listener)
 }
 
 // handleError writes an error as a refusal.
--- a/entryd/entry/settings.go
+++ b/entryd/entry/settings.go
@@ -66,6 +66,19 @@
 		// FleetOrphanSeconds is how long an instance may be without a plan slot.
 		FleetGraceSeconds  int `yaml:"FleetGraceSeconds"`
 		FleetOrphanSeconds int `yaml:"FleetOrphanSeconds"`
+		// MemoryMB is the memory of the instance in MB of 10^6 bytes, MaxDescriptors the files that the process may
+		// open. What is held for callers is derived from both, after MaxHeldMiB. Without MemoryMB, it is derived
+		// from defaultMemoryMB, and without MaxDescriptors from the limit of the process.
+		MemoryMB       int `yaml:"MemoryMB"`
+		MaxDescriptors int `yaml:"MaxDescriptors"`
+		// CallerConnections, CallerHeadKiB and CallerBodyKiB replace the derived limits of callers' connections, and
+		// of the memory of their heads and bodies. CallerStallMilliseconds is the time without progress after which a connection is
+		// closed if room is short, CallerReadMilliseconds that after which a body is refused.
+		CallerConnections       int `yaml:"CallerConnections"`
+		CallerHeadKiB           int `yaml:"CallerHeadKiB"`
+		CallerBodyKiB           int `yaml:"CallerBodyKiB"`
+		CallerStallMilliseconds int `yaml:"CallerStallMilliseconds"`
+		CallerReadMilliseconds  int `yaml:"CallerReadMilliseconds"`
 	}
 
 	// settingRange is the allowed range of one numeric setting.
@@ -138,11 +151,21 @@
 		{"FleetMaxStarting", d.FleetMaxStarting, 1, 1000},
 		{"FleetGraceSeconds", d.FleetGraceSeconds, 1, 86_400},
 		{"FleetOrphanSeconds", d.FleetOrphanSeconds, 1, 86_400},
+		{"MemoryMB", s.MemoryMB, 0, 1_000_000},
+		{"MaxDescriptors", s.MaxDescriptors, 0, 10_000_000},
+		{"CallerConnections", s.CallerConnections, 0, 1_000_000},
+		{"CallerHeadKiB", s.CallerHeadKiB, 0, 1_000_000},
+		{"CallerBodyKiB", s.CallerBodyKiB, 0, 100_000_000},
+		{"CallerStallMilliseconds", s.CallerStallMilliseconds, 0, 600_000},
+		{"CallerReadMilliseconds", s.CallerReadMilliseconds, 0, 600_000},
 	} {
 		if r.number < r.low || r.number > r.high {
 			problems = append(problems, eris.Errorf("%s %d is outside %d to %d", r.name, r.number, r.low, r.high).Error())
 		}
 	}
+	for _, p := range s.CheckFields() {
+		problems = append(problems, p.Field+" "+p.Text)
+	}
 	if len(problems) > 0 {
 		slices.Sort(problems)
 		return eris.Wrap(ErrSettings, strings.Join(problems, "; "))
--- a/entryd/main.go
+++ b/entryd/main.go
@@ -20,6 +20,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/go-logr/zapr"
@@ -100,6 +101,9 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
+	if limit := settings.SoftMemoryBytes(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	daemon, err := entry.New(settings, entry.WithLogger(zapr.NewLogger(log).WithName(settings.Name)))
 	if err != nil {
 		return err
@@ -137,10 +141,14 @@
 
 // Execute validates the settings file and prints its errors.
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if _, err := conf.Load[entry.Settings](c.settings); err != nil {
+	settings, err := conf.Load[entry.Settings](c.settings)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "entryd:", err)
 		return subcommands.ExitUsageError
 	}
 	fmt.Println("ok")
+	if limits, err := settings.CallerLimits(); err == nil {
+		fmt.Println(entry.DescribeLimits(limits))
+	}
 	return subcommands.ExitSuccess
 }
--- a/itest/hostile_test.go
+++ b/itest/hostile_test.go
@@ -16,6 +16,9 @@
 // hostileFields are the header fields of each hostile request: those of a client account of the table.
 const hostileFields = "Host: test.example\r\nAuthorization: Bearer " + counterKey + "\r\nContent-Type: application/json\r\n"
 
+// hostileSettings are the limits of a small instance, so that a few hundred callers exceed them.
+const hostileSettings = "MemoryMB: 144\nMaxDescriptors: 512\nMaxHeldMiB: 16\n"
+
 // answerTimeout limits the wait for an ordinary request's answer after a crowd has left.
 const answerTimeout = 25 * time.Second
 
@@ -61,7 +64,7 @@
 }
 
 func runHostileCase(t *testing.T, h stand.Hostile) {
-	c := newCluster(t, clusterConfig{daemons: 2, engines: 1, apps: 1})
+	c := newCluster(t, clusterConfig{daemons: 2, engines: 1, apps: 1, daemonSettings: hostileSettings})
 	d := c.daemons[0]
 	order := func() bool {
 		result := &orderResult{refusals: make(map[codes.Code]int)}
