--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -15,6 +15,7 @@
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -35,6 +36,8 @@
 		// began reports whether the endpoint has begun its response: a stream with its first event, another
 		// response with its head.
 		began bool
+		// firstSpeed is the logarithm of the speed that the first event has shown.
+		firstSpeed value.Option[float64]
 		// reply is what the head of the response says; its zero value until the head was read.
 		reply Reply
 		// writeResult receives the result of a write that runs while the response is read.
@@ -110,13 +113,14 @@
 		_ = c.Close()
 		return callerGone
 	}
-	if reason, withdrawn := x.daemon.tables.withdrawn(endpoint, x.daemon.clock.now()); withdrawn {
+	rule := x.homes()
+	if reason, withdrawn := x.daemon.tables.withdrawn(endpoint, rule, x.daemon.clock.now()); withdrawn {
 		// It was taken out of use while this request was being connected.
 		_ = c.Close()
 		x.log("Not sent.", "Endpoint", endpoint.ID, "Reason", reason)
 		return notSent
 	}
-	x.daemon.tables.markSent(selected.placed)
+	x.daemon.tables.markSent(selected.placed, rule)
 	a.endpointConn, a.reused = c, reused
 	a.sentAt = x.daemon.clock.now()
 	_ = c.SetDeadline(x.deadline)
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -8,8 +8,10 @@
 	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
+	"lentilstage.dev/decide/homes"
 	"lentilstage.dev/decide/poison"
 	"lentilstage.dev/decide/retry"
+	"lentilstage.dev/decide/share"
 	"lentilstage.dev/decide/suspect"
 	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/entryd/gate"
@@ -105,7 +107,7 @@
 	x.lastEvent = x.call.LastEventID
 	x.logArrival()
 	x.standing = d.tables.standing(x.demandKey(), x.waitsUntil(), x.arrived)
-	d.budget.arrived(x.service, x.arrived)
+	d.budget.arrived(x.service, d.clock.now())
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	// At the end of a stop, the request gets an answer while its connection is still open.
@@ -222,11 +224,26 @@
 
 func (x *exchange) selectFrom(r placeRequest) (next selection, ok bool) {
 	d := x.daemon
-	r.service, r.call, r.target, r.account = x.service, x.call, x.route.LatencyTarget, x.account.Name
+	r.service, r.call, r.target, r.account, r.homes = x.service, x.call, x.route.LatencyTarget, x.account.Name, x.homes()
 	next.endpoint, next.picked, next.placed, ok = d.tables.place(r, d.clock.now(), d.random)
 	return next, ok
 }
 
+// homes returns the regions in which the request may be served, by the configuration of this moment. If that has no such
+// route any more, the lists at the arrival hold.
+func (x *exchange) homes() homes.Rule {
+	route, account := x.route, x.account
+	if config := x.daemon.tables.currentConfig(); config != nil && config != x.config {
+		if current, ok := config.Match(x.call.Host, x.call.Path); ok {
+			route = current
+		}
+		if current, ok := config.Accounts[account.Name]; ok {
+			account = current
+		}
+	}
+	return homes.Rule{Route: route.AllowedRegions, Account: account.AllowedRegions}
+}
+
 // reserveSilent reserves the endpoint that the last fail-over has left if the request would otherwise fail
 // with the outcome: the endpoint may have been sound and only silent.
 func (x *exchange) reserveSilent(result outcome) bool {
@@ -266,11 +283,11 @@
 // the caller is told when the first one takes them again.
 func (x *exchange) failWithoutEndpoint() {
 	now := x.daemon.clock.now()
-	opensAt := x.daemon.tables.opensAt(x.service, now)
+	opensAt := x.daemon.tables.opensAt(x.service, x.homes(), now)
 	if opensAt.IsZero() || x.responseStarted || x.failedResponse != nil || x.mayHaveRun {
 		reason := "NoEndpoint"
-		if x.daemon.tables.allEvacuated(x.service, now) {
-			reason = string(inEvacuation)
+		if why, barred := x.daemon.tables.barred(x.service, x.homes(), now); barred {
+			reason = string(why)
 		}
 		x.fail(notSent, reason)
 		return
@@ -299,6 +316,7 @@
 		Wait: milliseconds(picked.Wait), Own: milliseconds(picked.Own()),
 		Target: x.route.LatencyTarget, Left: x.deadline.Sub(now), Rank: x.route.Priority,
 		Answer: x.answerTime(picked), StopAt: x.daemon.stopTime(), Spent: x.standing.spent, Expected: x.standing.expected,
+		Standing: x.standing.division, UrgentTarget: x.standing.urgentTarget,
 	}, now)
 }
 
@@ -326,7 +344,7 @@
 			Work: next.placed.work, Earliest: verdict.EarliestRetry, Deadline: x.waitsUntil(),
 		}, d.random(), d.clock.now())
 		retryAt = promised.RetryAt
-		fields = append(fields, "Returned", x.standing.returned, "Slot", promised.Slot, "Room", promised.Room,
+		fields = append(fields, "Standing", x.standing.division, "Share", x.standing.share, "Returned", x.standing.returned, "Slot", promised.Slot, "Room", promised.Room,
 			"Work", int(1000*next.placed.work), "Offered", promised.Offered, "Capacity", promised.Capacity, "Usual", promised.Usual)
 		x.countOverload(promised.Room)
 	}
@@ -343,6 +361,9 @@
 // countOverload counts a refusal for overload by whether the request seems to have been refused before.
 func (x *exchange) countOverload(room bool) {
 	m := x.daemon.meters
+	if x.standing.division != share.Undivided {
+		m.count("Overload." + x.standing.division.String())
+	}
 	if x.standing.returned {
 		m.count("Overload.Again")
 	} else {
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -156,7 +156,7 @@
 	d.gate = gate.New(gate.Options{
 		Limits: limits, Logger: d.logger.WithName("gate"), Count: d.meters.count, EchoHeader: codec.CallIDHeader,
 	})
-	d.pool = newPool(limits.EndpointConnections)
+	d.pool = newPool(limits)
 	d.budget = newBudget(settings.Limits)
 	d.snapshots = make(chan struct{}, maxSnapshots)
 	d.freshness = newFreshness(d.tables.rosterHash)
@@ -331,6 +331,7 @@
 		d.tables.setFleet(d.members.count(), d.clock.wallNow().Sub(d.clock.now()))
 		d.publishChanges(d.tables.tick(d.clock.now()))
 		d.logPoison()
+		d.logDemand()
 		d.logRollouts()
 		d.removeDeparted(d.clock.now())
 		d.logSpeeds()
