entry: the tests of callers start no metrics goroutine

The timers of newCounters start one for good, which the tests of leaks in the same package report; they failed since the tests of callers were added.

Run: go test -race ./entryd/entry.

--- a/entryd/entry/callers_test.go
+++ b/entryd/entry/callers_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 
 	"lentilstage.dev/decide/intake"
 	"lentilstage.dev/domain/conf"
@@ -24,7 +25,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newCallers(&Base{Logger: logr.Discard(), Counters: newCounters()}, limits)
+	// The timers of newCounters start a goroutine for good, which tests of leaks would find.
+	return newCallers(&Base{Logger: logr.Discard(), Counters: &counters{registry: metrics.NewRegistry()}}, limits)
 }
 
 // TestShortEncodedBody guards against a short body that decodes to a long one: a body of 1 MiB may decode to 1 GB.
