--- a/decide/homes/homes.go
+++ b/decide/homes/homes.go
@@ -39,6 +39,9 @@
 // Allow reports whether a request with the rule may be served in a data centre. One whose region is not known is
 // allowed only without lists.
 func (r Regions) Allow(rule Rule, dataCentre string) bool {
+	if len(rule.Route)+len(rule.Account) == 0 {
+		return true
+	}
 	region := r.byCentre[dataCentre]
 	for _, list := range [][]string{rule.Route, rule.Account} {
 		if len(list) > 0 && (region == "" || !slices.Contains(list, region)) {
