relay: a former hub keeps the speeds until it hears the new one's

A hub that became a follower went back to one speed for all endpoints until the totals had covered their keys, up to 2.5 s with 600 endpoints. The test fails without the change.

--- a/entryd/relay/speeds.go
+++ b/entryd/relay/speeds.go
@@ -33,6 +33,8 @@
 		// compared holds the speeds in use by service, as of comparedAt.
 		compared   map[string]pace.Comparison
 		comparedAt time.Time
+		// followed reports whether compared comes from a hub's totals.
+		followed bool
 		// cursor is the key at which the next totals start.
 		cursor uint32
 		// logged are the logarithms that were last logged, by service and endpoint.
@@ -236,6 +238,15 @@
 		return
 	}
 	s.comparedAt = now
+	if followsHub && !s.followed {
+		// A hub that becomes a follower keeps its speeds until the new hub's totals have covered all keys.
+		for _, c := range s.compared {
+			if c.Differ {
+				maps.Copy(s.heard, c.Logs)
+			}
+		}
+	}
+	s.followed = followsHub
 	if !followsHub {
 		for key, t := range s.own {
 			s.estimates.Add(key, t, now)
--- a/entryd/relay/speeds_test.go
+++ b/entryd/relay/speeds_test.go
@@ -124,7 +124,8 @@
 	}
 }
 
-// TestNewHubKeepsSpeeds guards against a new hub that knows no speeds until it has observed all endpoints again.
+// TestNewHubKeepsSpeeds guards against a new hub that knows no speeds until it has observed all endpoints again, and against
+// a former hub without speeds until the totals of the new one have covered all endpoints.
 func TestNewHubKeepsSpeeds(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := newSpeedTables("d", "a", 9, 1, now)
@@ -145,6 +146,12 @@
 	if got := d.speeds.factor(speedEndpoint(0, 1)); math.Abs(got-0.61) > 0.06 {
 		t.Errorf("speed %.2f at the new hub, want 0.61", got)
 	}
+	d.followsHub = true
+	now = now.Add(time.Second)
+	d.updateSpeeds(now)
+	if got := d.speeds.factor(speedEndpoint(0, 1)); math.Abs(got-0.61) > 0.06 {
+		t.Errorf("speed %.2f at the former hub, want 0.61", got)
+	}
 }
 
 // TestSpeedsOfARange guards against speeds that stay after a hub no longer tells them, and against those that are
