--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -69,6 +69,9 @@
 	maxStaleBytes = 1 << 20
 	// maxStaleResponses limits how many responses to earlier requests are skipped on a connection.
 	maxStaleResponses = 3
+	// begunFraction of the predicted wait is how long a request must have been at an endpoint to count as begun
+	// there if the connection breaks: those that wait at an endpoint that crashes have not begun.
+	begunFraction = 0.5
 	// stallFraction of the route's target is the stall timeout of an endpoint whose predicted wait is
 	// below quickFraction of the target. Busier endpoints get busyFraction.
 	stallFraction = 0.7
@@ -250,8 +253,8 @@
 	if result != notRun {
 		x.mayHaveRun = true
 	}
-	if result == broken {
-		// The answer of a request that ran may be lost. Of the requests at an endpoint that crashes, few wait to be run.
+	if result == broken && x.daemon.clock.now().Sub(a.sentAt) >= milliseconds(begunFraction*a.picked.Wait) {
+		// The endpoint has most likely begun the request, and its response was lost.
 		x.countUsage()
 	}
 	x.daemon.tables.recordAttempt(x.suspect, result, x.daemon.clock.now())
