--- a/entryd/relay/demand.go
+++ b/entryd/relay/demand.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -20,6 +21,8 @@
 		schedule         *admit.Schedule
 		supply           share.Supply
 		division         *share.Division
+		// capacity is the work per second that the endpoints completed at the last tick.
+		capacity float64
 	}
 
 	// demandShare is the demand of one or more daemons, in seconds of endpoint time.
@@ -80,6 +83,9 @@
 	// demandTTL is how long a peer's demand holds without a newer one. After it, this daemon's own demand stands for
 	// that of each daemon.
 	demandTTL = 2 * time.Second
+	// maxReportedAccounts limits the accounts of a service in a message; otherAccounts stands for the others.
+	maxReportedAccounts = 64
+	otherAccounts       = 0
 	// plainRequestSeconds is the time that a request to a plain service occupies a slot.
 	plainRequestSeconds = 0.05
 )
@@ -126,7 +132,7 @@
 	s.spent = t.patience.Spent(key.route+"\x00"+key.account, waitsUntil.Sub(now), now)
 	s.returned = admit.Request{Spent: s.spent}.Returns()
 	if d, known := t.demand[key.service]; known {
-		s.expected = d.schedule.Expected(admit.Outlook{Capacity: d.supply.Capacity(t.readyEndpoints(key.service))}, t.wall(now))
+		s.expected = d.schedule.Expected(admit.Outlook{Capacity: d.capacity}, t.wall(now))
 		if d.division.Short() {
 			account := shortID(key.account)
 			s.division, s.share = d.division.Take(account, s.returned), d.division.Fraction(account)
@@ -167,15 +173,17 @@
 	return p
 }
 
-// readyEndpoints returns the number of endpoints of a service that may get requests. The caller holds the lock.
-func (t *tables) readyEndpoints(service string) int {
-	count := 0
+// readySpeed returns the sum of the speeds of the endpoints of a service that may get requests, as multiples of the usual
+// one. The caller holds the lock.
+func (t *tables) readySpeed(service string) float64 {
+	sum := 0.0
 	for _, e := range t.endpoints {
 		if e.Service == service && t.available(e) {
-			count++
+			// It is 0 if the endpoints don't differ.
+			sum += cmp.Or(t.speeds.factor(e), 1)
 		}
 	}
-	return count
+	return sum
 }
 
 // outlook returns what is known of the work of a service on all daemons. The caller holds the lock.
@@ -188,7 +196,7 @@
 	for _, rate := range t.othersDemand(service, now).offered {
 		offered += rate
 	}
-	return admit.Outlook{Capacity: d.supply.Capacity(t.readyEndpoints(service)), Offered: offered}
+	return admit.Outlook{Capacity: d.supply.Capacity(t.readySpeed(service)), Offered: offered}
 }
 
 // othersDemand returns the demand of the other daemons. The caller holds the lock.
@@ -289,7 +297,8 @@
 		own := t.ownShare(service, now)
 		own.promised = nil
 		all.add(own, 1)
-		d.supply = d.supply.With(outlook.Offered, all.refused, t.readyEndpoints(service), now)
+		d.supply = d.supply.With(outlook.Offered, all.refused, t.readySpeed(service), now)
+		d.capacity = outlook.Capacity
 		d.schedule.Update(outlook, t.wall(now))
 		if d.division.Update(share.Load{Offered: all.offered, Refused: all.refused, Capacity: outlook.Capacity}, now) {
 			t.shortageChanges = append(t.shortageChanges, shortageChange{
@@ -381,13 +390,19 @@
 	return reports
 }
 
-// newDemandReport returns a demand for a message.
+// newDemandReport returns a demand for a message. The accounts that offer least are added up if there are many.
 func newDemandReport(s demandShare, wall time.Time) demandReport {
 	r := demandReport{Offered: make(map[uint32]int, len(s.offered)), Refused: toMilliseconds(s.refused)}
 	r.FirstSlot, r.Promised = admit.Pack(s.promised, wall)
-	for account, rate := range s.offered {
-		if ms := toMilliseconds(rate); ms > 0 {
-			r.Offered[account] = ms
+	accounts := slices.SortedFunc(maps.Keys(s.offered), func(a, b uint32) int {
+		return cmp.Or(cmp.Compare(s.offered[b], s.offered[a]), cmp.Compare(a, b))
+	})
+	for i, account := range accounts {
+		if i >= maxReportedAccounts {
+			account = otherAccounts
+		}
+		if ms := toMilliseconds(s.offered[accounts[i]]); ms > 0 {
+			r.Offered[account] += ms
 		}
 	}
 	return r
