--- a/decide/choice/choice.go
+++ b/decide/choice/choice.go
@@ -103,6 +103,8 @@
 		pace pace.Estimate
 		// plainOwn is the time that a slow endpoint of a plain service takes longer than the usual one, in milliseconds.
 		plainOwn float64
+		// plainTime is the time that the endpoint of a plain service takes for the request, in milliseconds.
+		plainTime float64
 		// lateness is the time in milliseconds by which a slow engine's time for the request exceeds what the target allows.
 		lateness float64
 		// cost is the wait plus the cost of moved tokens, in milliseconds.
@@ -198,6 +200,10 @@
 	return p.pace.FirstMS + float64(p.Uncached)/p.pace.PrefillPerMS
 }
 
+// Response returns the predicted time in milliseconds until the first event or, from a plain service, the complete
+// answer.
+func (p Picked) Response() float64 { return p.Wait - p.plainOwn + p.plainTime }
+
 // Extra returns the part of the predicted wait, in milliseconds, that was learnt from earlier predictions.
 func (p Picked) Extra() float64 {
 	if p.Candidate.Speed == 0 {
@@ -269,6 +275,10 @@
 		// The time of the request itself counts as far as it differs from the usual one. A shorter one is no
 		// reason to admit the request behind others.
 		p.plainOwn = max(own-usual, 0)
+		p.plainTime = own
+		if c.Speed == 0 && request.Pace.PlainMS > 0 {
+			p.plainTime = request.Pace.PlainMS
+		}
 		p.Wait, p.cost = wait+p.plainOwn, wait+own-usual
 		return p
 	}
--- a/decide/health/health.go
+++ b/decide/health/health.go
@@ -229,6 +229,10 @@
 	}
 	var commands []Command
 	switch m.Kind {
+	case Overtaken:
+		if !a.isSlow(m) || e.status.State == Probing {
+			return nil
+		}
 	case Failed:
 		commands = append(commands, Attributed{Instance: m.Instance, Route: m.Route, Version: m.Version, Cause: ToVersion, Failures: 1})
 	case Unreachable, TimedOut:
@@ -238,13 +242,12 @@
 	decay := math.Exp2(-max(0, m.Time.Sub(e.lastOutcome).Seconds()) / a.settings.HalfLife.Seconds())
 	e.total, e.failed, e.slow, e.lastOutcome = e.total*decay+1, e.failed*decay, e.slow*decay, m.Time
 	switch m.Kind {
-	case TimedOut:
+	case TimedOut, Overtaken:
 		e.slow++
 	case Succeeded:
 		e.consecutive = 0
 		e.lastSeen = m.Time
-		limit := time.Duration(float64(m.Predicted)*a.settings.SlowFactor) + a.settings.SlowGrace
-		if m.Predicted > 0 && m.Actual > limit {
+		if a.isSlow(m) {
 			e.slow++
 		}
 	default:
@@ -257,6 +260,12 @@
 	return append(commands, a.evaluate(e, m.Time)...)
 }
 
+// isSlow reports whether an outcome with a prediction took much longer than predicted.
+func (a Aggregate) isSlow(m Outcome) bool {
+	limit := time.Duration(float64(m.Predicted)*a.settings.SlowFactor) + a.settings.SlowGrace
+	return m.Predicted > 0 && m.Actual > limit
+}
+
 // applyProbeOutcome handles an outcome of an endpoint that is being probed.
 func (a Aggregate) applyProbeOutcome(e *endpoint, m Outcome) []Command {
 	if m.Kind != Succeeded {
--- a/decide/health/message.go
+++ b/decide/health/message.go
@@ -123,6 +123,9 @@
 	// TimedOut means that the endpoint sent nothing in time. It counts as slow and not as a failure,
 	// since overload makes healthy endpoints time out together.
 	TimedOut OutcomeKind = "TimedOut"
+	// Overtaken means that the attempt was cancelled because a copy of the request was answered first. It is no
+	// failure. It counts only if the attempt was slow already, which Actual, the time until then, shows.
+	Overtaken OutcomeKind = "Overtaken"
 
 	// ToVersion and ToDataCentre are the attributions of a failure.
 	ToVersion    Attribution = "Version"
--- a/decide/retry/retry.go
+++ b/decide/retry/retry.go
@@ -39,6 +39,9 @@
 		ExtraRetries int
 		// MaxAttempts is the maximum number of attempts, including the first.
 		MaxAttempts int
+		// HedgeFraction is the fraction of the requests in Window that may get a copy, inside the budget: 0 for none, 1 for
+		// no other limit than the budget.
+		HedgeFraction float64
 		// FirstDelay is the backoff after the first attempt. It doubles with each attempt up to
 		// MaxDelay. Jitter multiplies the backoff by 0.5 to 1.5.
 		FirstDelay time.Duration
@@ -87,7 +90,8 @@
 	}
 
 	// Delayed reports an attempt without a first token. HedgeAt is the time after which a second
-	// copy is worth its cost.
+	// copy is worth its cost, as Progress.HedgeAt returns it; the attempt's LatestStart is the last time
+	// at which a copy can still meet its target.
 	Delayed struct {
 		Time    time.Time
 		Attempt Attempt
@@ -134,12 +138,14 @@
 	window struct {
 		slots      [windowSlots]slot
 		slotLength time.Duration
+		lateness   lateness
 	}
 
 	slot struct {
 		number   int64
 		requests int
 		retries  int
+		copies   int
 	}
 )
 
@@ -160,6 +166,7 @@
 		Window:         20 * time.Second,
 		MinRetries:     1,
 		MaxAttempts:    3,
+		HedgeFraction:  1,
 		FirstDelay:     50 * time.Millisecond,
 		MaxDelay:       time.Second,
 	}
@@ -180,13 +187,9 @@
 	case Ended:
 		return b, []Command{b.decide(m)}
 	case Delayed:
-		a := m.Attempt
-		if now.Before(m.HedgeAt) || !a.Repeatable || a.Number != 1 || !b.hasBudget(a.Account, 1, now) {
-			return b, nil
-		}
-		numbers := b.numbers(a, now)
-		b.spend(a.Account, 1, now)
-		return b, []Command{Hedge{Request: a.Request, Numbers: numbers}}
+		return b, b.hedge(m)
+	case Observed:
+		b.observe(m)
 	}
 	return b, nil
 }
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -18,7 +18,9 @@
 type platformCommand struct {
 	settings string
 	check    bool
-	verbose  bool
+	// hedgeShare replaces the setting of that name; -1 if the flag was not given.
+	hedgeShare float64
+	verbose    bool
 }
 
 // Name returns the command's name.
@@ -29,13 +31,14 @@
 
 // Usage returns the command's usage text.
 func (*platformCommand) Usage() string {
-	return "platform [-settings FILE] [-check] [-verbose]\n"
+	return "platform [-settings FILE] [-check] [-hedge-share SHARE] [-verbose]\n"
 }
 
 // SetFlags defines the command's flags.
 func (p *platformCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&p.settings, "settings", adapt.SettingsPath(), "the platform's settings `file`")
 	f.BoolVar(&p.check, "check", false, "check the settings and exit")
+	f.Float64Var(&p.hedgeShare, "hedge-share", -1, "the `share` of requests that may get a copy, from 0 to 1 (default: hedge.share in the settings file, or 0)")
 	f.BoolVar(&p.verbose, "verbose", false, "log details")
 }
 
@@ -46,6 +49,13 @@
 		fmt.Fprintln(os.Stderr, "entryd:", err)
 		return subcommands.ExitUsageError
 	}
+	if p.hedgeShare != -1 {
+		file.Settings.Limits.HedgeShare = p.hedgeShare
+		if err := file.Settings.Check(); err != nil {
+			fmt.Fprintln(os.Stderr, "entryd: -hedge-share:", err)
+			return subcommands.ExitUsageError
+		}
+	}
 	if p.check {
 		fmt.Println("ok")
 		return subcommands.ExitSuccess
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -85,7 +85,7 @@
 	// say nothing about its health are missing.
 	healthOutcomes = map[outcome]health.OutcomeKind{
 		delivered: health.Succeeded, failed: health.Failed, broken: health.Unreachable,
-		stalled: health.TimedOut, deadlinePassed: health.TimedOut,
+		stalled: health.TimedOut, deadlinePassed: health.TimedOut, superseded: health.Overtaken,
 	}
 )
 
@@ -114,9 +114,12 @@
 			return a.failOver(sends+1, started || extended)
 		})
 	}
+	if x.race != nil {
+		x.race.watch(a)
+	}
 	x.log("Sent.", "Endpoint", endpoint.ID, "DataCentre", endpoint.DataCentre, "Predicted", int(picked.Wait),
 		"Load", picked.Candidate.Load.Requests, "Cost", int(x.cost), "Uncached", picked.Uncached,
-		"Fetched", picked.Fetched, "Source", picked.Source, "Reused", reused, "LastEvent", x.lastEvent)
+		"Fetched", picked.Fetched, "Source", picked.Source, "Reused", reused, "LastEvent", x.lastEvent, "Copy", x.lane == copyLane)
 	// Closes the connection as soon as the caller leaves, which cancels the work at the endpoint.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	result, keep, header := a.run()
@@ -163,6 +166,12 @@
 	if a.ctx.Err() != nil {
 		return false
 	}
+	if x.race != nil {
+		copies, ready := x.race.copiesBeside(x.lane)
+		if sends += copies; !ready || sends >= x.route.MaxAttempts {
+			return false
+		}
+	}
 	if reason, rejects := x.daemon.tables.rejects(a.endpoint, x.daemon.clock.now()); rejects && responseStarted {
 		// The request could not return to this endpoint if the other one can't go on.
 		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", reason)
@@ -216,6 +225,12 @@
 // lines.
 func (a *attempt) recordOutcome(result outcome) outcome {
 	x := a.x
+	if x.overtaken() && (result == broken || result == stalled || result == deadlinePassed) {
+		result = superseded
+	}
+	if result == superseded {
+		a.recordOvertaken(x.daemon.clock.now())
+	}
 	if result == broken || result == stalled {
 		if interrupted, ok := a.interrupted(); ok {
 			result = interrupted
@@ -485,6 +500,9 @@
 	if a.silence.hasFailedOver() {
 		return stalled
 	}
+	if a.x.overtaken() {
+		return superseded
+	}
 	a.x.log("Connection failed.", "Endpoint", a.endpoint.ID, "Error", err.Error())
 	return broken
 }
@@ -511,6 +529,9 @@
 	if len(body) > maxBufferedBytes {
 		return a.forwardLarge(buffered, response.Body)
 	}
+	if !x.claim() {
+		return superseded, nil
+	}
 	now := x.daemon.clock.now()
 	x.daemon.tables.recordTiming(a.firstEventTiming(now, false), now)
 	if x.engine() == nil && buffered.status < http.StatusMultipleChoices {
@@ -527,6 +548,9 @@
 	if a.silence.end() {
 		return stalled, errConnUnusable
 	}
+	if !a.x.claim() {
+		return superseded, nil
+	}
 	copyHeader(a.x.writer.Header(), head.header)
 	a.x.writer.WriteHeader(head.status)
 	a.x.responseStarted = true
--- a/entryd/relay/budget.go
+++ b/entryd/relay/budget.go
@@ -40,6 +40,7 @@
 		BudgetFraction: b.limits.RetryRatio * budgetFraction,
 		Window:         b.limits.RetryWindow,
 		ExtraRetries:   int(float64(b.limits.RetryAllowance) * budgetFraction / float64(max(b.daemons, 1))),
+		HedgeFraction:  b.limits.HedgeShare,
 
 		MaxAttempts: maxAttempts, FirstDelay: firstRetryDelay, MaxDelay: maxRetryDelay,
 	}
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -56,6 +56,10 @@
 		suspect suspect.Key
 		// parts identifies the parts of the prompt that other requests may have too.
 		parts []poison.Key
+		// race is set while a copy of the request may run beside its first attempt; lane is then the attempt that
+		// this exchange belongs to.
+		race *race
+		lane lane
 		// failedResponse is an endpoint's own error response. It is forwarded if no other attempt
 		// succeeds.
 		failedResponse *bufferedResponse
@@ -87,6 +91,8 @@
 	stalled outcome = "Stalled"
 	// deadlinePassed: the request's deadline has passed.
 	deadlinePassed outcome = "Late"
+	// superseded: another attempt of the request was answered first.
+	superseded outcome = "Superseded"
 	// callerGone: the caller has closed the connection.
 	callerGone outcome = "CallerGone"
 
@@ -117,9 +123,8 @@
 		}
 		x.countReturn(len(x.tried))
 		x.tried[next.endpoint.ID] = true
-		result := x.attempt(ctx, next, sends)
-		d.tables.release(next.placed)
-		d.meters.count("Attempts." + string(result))
+		result, copies := x.attemptHedged(ctx, next, sends)
+		sends += copies
 		if x.responseStarted && (x.route.Kind != setup.Stream || x.positionUnknown) && result != delivered && result != callerGone {
 			// Only a stream can go on at another endpoint, after an event that has an identifier.
 			x.fail(result, string(result))
@@ -211,7 +216,7 @@
 // the response is being read.
 func (x *exchange) selectEndpoint(responseStarted bool) (selection, bool) {
 	return x.selectFrom(placeRequest{
-		tried: x.tried, fits: func(p choice.Picked) bool { return x.checkAdmission(p, responseStarted).Admitted },
+		tried: x.triedByAll(), fits: func(p choice.Picked) bool { return x.checkAdmission(p, responseStarted).Admitted },
 	})
 }
 
@@ -466,5 +471,8 @@
 		return
 	}
 	x.usageCounted = true
+	if x.race != nil && !x.race.usageCounted.CompareAndSwap(false, true) {
+		return
+	}
 	x.daemon.tables.countUsage(x.account.Name, x.daemon.clock.wallNow())
 }
--- a/entryd/relay/rollout.go
+++ b/entryd/relay/rollout.go
@@ -161,7 +161,7 @@
 // countRolloutResponse counts an outcome of a version in a roll-out.
 func (t *tables) countRolloutResponse(endpoint setup.Endpoint, kind health.OutcomeKind, now time.Time) {
 	r, ok := t.rollouts[endpoint.Service]
-	if !ok || r.ended() {
+	if !ok || r.ended() || kind == health.Overtaken {
 		return
 	}
 	isNew, good := endpoint.Version == r.state.Target, kind == health.Succeeded
--- a/entryd/relay/settings.go
+++ b/entryd/relay/settings.go
@@ -47,6 +47,9 @@
 		RetryRatio     float64
 		RetryAllowance int
 		RetryWindow    time.Duration
+		// HedgeShare of the requests may get a copy at a second endpoint, inside the limits of retries; 0 for none.
+		// The operator sets it.
+		HedgeShare float64
 		// ReportInterval is how often an endpoint renews its registration; 0 if not known.
 		ReportInterval time.Duration
 		// ColdOverrun times the rate that a cold endpoint tolerates plus ColdTolerance is the most requests that it may
@@ -86,6 +89,9 @@
 	if s.Limits.RetryRatio < 0 || s.Limits.RetryRatio > 1 {
 		problems = append(problems, "RetryRatio must be from 0 to 1")
 	}
+	if !(s.Limits.HedgeShare >= 0 && s.Limits.HedgeShare <= 1) {
+		problems = append(problems, "HedgeShare must be from 0 to 1")
+	}
 	if len(problems) > 0 {
 		return eris.Wrap(ErrInvalidSettings, strings.Join(problems, "; "))
 	}
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -52,6 +52,9 @@
 				return a.classifyError(io.ErrUnexpectedEOF), io.ErrUnexpectedEOF
 			}
 			if !x.responseStarted {
+				if !x.claim() {
+					return superseded, nil
+				}
 				x.startStream(response)
 				// An error means that the caller has left.
 				_, _ = x.writer.Write(comments)
@@ -83,6 +86,9 @@
 			}
 			continue
 		}
+		if !x.responseStarted && !x.claim() {
+			return superseded, nil
+		}
 		if first && content {
 			first, firstAt = false, x.daemon.clock.now()
 			a.recordFirstEvent()
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -478,6 +478,9 @@
 			found.leaving = append(found.leaving, c)
 			continue
 		}
+		if r.copy && (status.State != health.Healthy || t.cold(e.ID) || t.limited(e.ID)) {
+			continue
+		}
 		until, reason := t.closedUntil(e, offered, now)
 		if r.only != "" && reason == limitReached && !t.cold(e.ID) {
 			// The response has begun there and can go on nowhere else. The request is deducted from the limit.
@@ -598,6 +601,10 @@
 	only string
 	// fits reports whether a choice would be admitted. It is called with the tables locked.
 	fits func(choice.Picked) bool
+	// copy is set if the call is a copy beside another attempt. Endpoints that are unhealthy, cold or limited get none.
+	copy bool
+	// accepts reports whether the choice is taken; nil takes each one. It is called with the tables locked.
+	accepts func(choice.Picked) bool
 }
 
 func (r placeRequest) excludes(id string) bool {
@@ -619,7 +626,7 @@
 	found := t.candidates(r, now)
 	request.Sources = found.leaving
 	picked, ok := choice.Pick(request, t.usable(r.service, found, random()), random)
-	if !ok {
+	if !ok || r.accepts != nil && !r.accepts(picked) {
 		return setup.Endpoint{}, picked, nil, false
 	}
 	endpoint, _ := t.endpoint(picked.Candidate.ID)
--- a/entryd/relay/timing.go
+++ b/entryd/relay/timing.go
@@ -89,7 +89,7 @@
 // did not wait longer.
 func (a *attempt) recordUnanswered(result outcome, now time.Time) {
 	switch result {
-	case callerGone, stalled, deadlinePassed:
+	case callerGone, stalled, deadlinePassed, superseded:
 		if !a.began {
 			a.x.daemon.tables.recordTiming(a.firstEventTiming(now, true), now)
 		}
