--- a/domain/setup/setup.go
+++ b/domain/setup/setup.go
@@ -50,6 +50,8 @@
 		Public bool
 		// Resumable streams may be resumed at another endpoint after the last delivered event.
 		Resumable bool
+		// AllowedRegions are the regions whose endpoints may serve the requests; all if empty.
+		AllowedRegions []string
 	}
 
 	// Engine describes the model engines that run a service.
@@ -104,12 +106,18 @@
 		CountsTokens bool
 		// DefaultTokens is the cost in tokens of a request without token counts if CountsTokens is set.
 		DefaultTokens int
+		// AllowedRegions are the regions whose endpoints may serve the account's requests; all if empty.
+		AllowedRegions []string
 	}
 
 	// Limits bounds the requests of callers.
 	Limits struct {
-		// MaxBodyBytes is the maximum size of a request body in bytes.
-		MaxBodyBytes int64
+		// MaxBodyBytes is the maximum size of a request body in bytes, MaxHeaderBytes that of its header; 0 if not set.
+		MaxBodyBytes   int64
+		MaxHeaderBytes int
+		// HeaderTimeout limits the time for a request's header, IdleTimeout that of a connection without a request;
+		// 0 if not set.
+		HeaderTimeout, IdleTimeout time.Duration
 	}
 
 	// Config is one version of the configuration.
--- a/entryd/gate/conn.go
+++ b/entryd/gate/conn.go
@@ -39,6 +39,8 @@
 		filledFrom             int
 		filledAt, filledBefore time.Time
 		requests               int
+		// reading is set while the account knows of an incomplete head.
+		reading bool
 		// begunAt is when the first byte of the present request was read.
 		begunAt time.Time
 		body    bodyState
@@ -98,6 +100,8 @@
 	// lingerTime is how long the rest of a refused body is read after the response, so that the caller reads the
 	// response before the connection is reset.
 	lingerTime = 400 * time.Millisecond
+	// abortPollInterval is the pause between two looks at a connection that has no socket, as in tests.
+	abortPollInterval = 5 * time.Millisecond
 	// retryAfter is the time in Retry-After of the gate's own refusals, in seconds.
 	retryAfter = "0.500"
 	// tcpCloseWait and tcpClose are states of a connection that the caller has closed or reset.
@@ -189,7 +193,7 @@
 // HoldResponse asks for room for a response that is buffered. It sets the size, so 0 releases it.
 func (c *Conn) HoldResponse(size int64) bool {
 	now := time.Now()
-	verdict := c.gate.reserve(now, func() intake.Verdict { return c.gate.account.Response(c.holder, size, now) })
+	verdict := c.gate.reserve(func() intake.Verdict { return c.gate.account.Response(c.holder, size, now) })
 	if !verdict.Admitted {
 		c.gate.note(string(verdict.Reason), "Bytes", size)
 	}
@@ -226,7 +230,11 @@
 // awaitLeft returns an error once the caller has left or the read was aborted. It consumes nothing.
 func (c *Conn) awaitLeft() error {
 	if c.raw == nil {
-		return io.EOF
+		// Without a socket, a close shows with the next read or write only.
+		for !c.aborted.Load() && !c.closed.Load() {
+			time.Sleep(abortPollInterval)
+		}
+		return os.ErrDeadlineExceeded
 	}
 	for {
 		err := c.raw.Read(c.waitLeft)
@@ -301,8 +309,6 @@
 				}
 			}
 			c.begin(arrived)
-		} else if c.end-c.start > 0 {
-			c.markProgress(now)
 		}
 		return nil
 	}
@@ -335,8 +341,12 @@
 	if c.end == size {
 		size = min(2*size, limit)
 	}
-	verdict := c.gate.reserve(now, func() intake.Verdict {
-		c.gate.account.Reading(c.holder, now)
+	verdict := c.gate.reserve(func() intake.Verdict {
+		if !c.reading {
+			// A head counts as stalled from its first byte on, or a few bytes a second would pass for progress.
+			c.reading = true
+			c.gate.account.Reading(c.holder, now)
+		}
 		if size == bufferBytes {
 			return intake.Verdict{Admitted: true}
 		}
@@ -359,7 +369,7 @@
 func (c *Conn) admitHead(length int) error {
 	now := time.Now()
 	cost := intake.HeadCost(int64(length), c.head.fields)
-	verdict := c.gate.reserve(now, func() intake.Verdict {
+	verdict := c.gate.reserve(func() intake.Verdict {
 		verdict := c.gate.account.Head(c.holder, cost, now)
 		if verdict.Admitted {
 			c.gate.account.Serving(c.holder, now)
@@ -370,7 +380,7 @@
 		c.gate.note(string(verdict.Reason), "Address", addressOf(c.Conn), "Fields", c.head.fields)
 		return c.refuse(http.StatusServiceUnavailable)
 	}
-	c.deliver, c.head = length, headScanner{}
+	c.deliver, c.head, c.reading = length, headScanner{}, false
 	c.requests++
 	return nil
 }
@@ -422,7 +432,11 @@
 	if c.end == c.start {
 		c.idle.Store(true)
 	}
-	c.gate.update(func() { c.gate.account.Idle(c.holder, c.idleSince) })
+	c.progressAt.Store(0)
+	c.gate.update(func() {
+		c.stalledWriting = false
+		c.gate.account.Idle(c.holder, c.idleSince)
+	})
 }
 
 // Write sends a part of a response. Each part that is sent extends the deadline.
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -2,23 +2,26 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
 	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
+	"lentilstage.dev/decide/homes"
 	"lentilstage.dev/decide/poison"
 	"lentilstage.dev/decide/retry"
 	"lentilstage.dev/decide/suspect"
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/entryd/gate"
 )
 
 type (
 	// exchange is one request of a caller with its attempts.
 	exchange struct {
-		daemon  *Daemon
+		daemon *Daemon
+		// conn is the caller's connection; nil for a server without a gate.
+		conn    *gate.Conn
 		writer  http.ResponseWriter
 		request *http.Request
 
@@ -109,7 +112,7 @@
 	x.lastEvent = x.call.LastEventID
 	x.logArrival()
 	x.standing = d.tables.standing(x.demandKey(), x.waitsUntil(), x.arrived)
-	d.budget.arrived(x.service, x.arrived)
+	d.budget.arrived(x.service, d.clock.now())
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	// At the end of a stop, the request gets an answer while its connection is still open.
@@ -135,8 +138,11 @@
 			d.meters.observe("Answer.Milliseconds", d.clock.now().Sub(x.arrived))
 			return
 		case callerGone:
-			x.log("Caller left.", "Endpoint", next.endpoint.ID, "Sends", sends+1)
+			x.log("Caller left.", "Endpoint", next.endpoint.ID, "Sends", sends+1, "MayHaveRun", x.mayHaveRun)
 			d.meters.count("Callers.Left")
+			if !x.mayHaveRun && x.cost > 0 {
+				d.tables.returnAllowance(x.account.Name, x.cost)
+			}
 			panic(http.ErrAbortHandler)
 		case deadlinePassed:
 			if d.ended.Err() != nil {
@@ -222,11 +228,26 @@
 
 func (x *exchange) selectFrom(r placeRequest) (next selection, ok bool) {
 	d := x.daemon
-	r.service, r.call, r.target, r.account = x.service, x.call, x.route.LatencyTarget, x.account.Name
+	r.service, r.call, r.target, r.account, r.homes = x.service, x.call, x.route.LatencyTarget, x.account.Name, x.homes()
 	next.endpoint, next.picked, next.placed, ok = d.tables.place(r, d.clock.now(), d.random)
 	return next, ok
 }
 
+// homes returns the regions in which the request may be served, by the configuration of this moment. If that has no such
+// route any more, the lists at the arrival hold.
+func (x *exchange) homes() homes.Rule {
+	route, account := x.route, x.account
+	if config := x.daemon.tables.currentConfig(); config != nil && config != x.config {
+		if current, ok := config.Match(x.call.Host, x.call.Path); ok {
+			route = current
+		}
+		if current, ok := config.Accounts[account.Name]; ok {
+			account = current
+		}
+	}
+	return homes.Rule{Route: route.AllowedRegions, Account: account.AllowedRegions}
+}
+
 // reserveSilent reserves the endpoint that the last fail-over has left if the request would otherwise fail
 // with the outcome: the endpoint may have been sound and only silent.
 func (x *exchange) reserveSilent(result outcome) bool {
@@ -266,11 +287,11 @@
 // the caller is told when the first one takes them again.
 func (x *exchange) failWithoutEndpoint() {
 	now := x.daemon.clock.now()
-	opensAt := x.daemon.tables.opensAt(x.service, now)
+	opensAt := x.daemon.tables.opensAt(x.service, x.homes(), now)
 	if opensAt.IsZero() || x.responseStarted || x.failedResponse != nil || x.mayHaveRun {
 		reason := "NoEndpoint"
-		if x.daemon.tables.allEvacuated(x.service, now) {
-			reason = string(inEvacuation)
+		if why, barred := x.daemon.tables.barred(x.service, x.homes(), now); barred {
+			reason = string(why)
 		}
 		x.fail(notSent, reason)
 		return
@@ -430,7 +451,7 @@
 	if !x.request.ProtoAtLeast(1, 1) {
 		// Without chunks, the end of the connection is that of the response. Only a reset is an error.
 		if conn, _, err := http.NewResponseController(x.writer).Hijack(); err == nil {
-			if tcp, ok := conn.(*net.TCPConn); ok {
+			if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 				_ = tcp.SetLinger(0)
 			}
 			_ = conn.Close()
--- a/entryd/relay/hedge.go
+++ b/entryd/relay/hedge.go
@@ -9,6 +9,7 @@
 
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/retry"
+	"lentilstage.dev/domain/setup"
 )
 
 type (
@@ -33,8 +34,9 @@
 		// winner is the attempt that has claimed the response, if claimed is set.
 		claimed bool
 		winner  lane
-		// ended reports which attempts have ended.
+		// ended reports which attempts have ended, held how many bytes of responses they buffer.
 		ended [2]bool
+		held  [2]int64
 	}
 
 	// lane tells the attempts of a race apart.
@@ -193,6 +195,7 @@
 	defer close(r.copyEnded)
 	r.copyResult = r.copy.attemptCounted(r.contexts[copyLane], next, 1)
 	r.mutex.Lock()
+	r.held[copyLane] = 0
 	defer r.mutex.Unlock()
 	r.ended[copyLane] = true
 }
@@ -289,6 +292,25 @@
 // claim reports whether this attempt may write to the caller.
 func (x *exchange) claim() bool { return x.race == nil || x.race.claim(x.lane) }
 
+// holdResponse asks for room for a number of bytes of a response that is buffered, in addition to those of another
+// attempt.
+func (x *exchange) holdResponse(size int64) bool {
+	if x.conn == nil || size <= 0 {
+		return true
+	}
+	if x.race == nil {
+		return x.conn.HoldResponse(size)
+	}
+	r := x.race
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !x.conn.HoldResponse(size + r.held[1-x.lane]) {
+		return false
+	}
+	r.held[x.lane] = size
+	return true
+}
+
 // overtaken reports whether the other attempt of a race has the response.
 func (x *exchange) overtaken() bool {
 	if x.race == nil {
@@ -317,12 +339,20 @@
 		return
 	}
 	if x.engine() != nil {
-		x.daemon.tables.recordFirstToken(a.endpoint, a.picked, took)
+		x.daemon.tables.recordSlowFirst(a.endpoint, a.picked, took)
 	} else {
 		x.daemon.tables.recordPlain(a.endpoint, a.picked, took)
 	}
 }
 
+// recordSlowFirst records that the first token of a placed call takes longer than a time that exceeds the prediction.
+func (t *tables) recordSlowFirst(endpoint setup.Endpoint, picked choice.Picked, least time.Duration) {
+	observed := t.recordFirstToken(endpoint, picked, least)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.speeds.record(endpoint)(observed.Get())
+}
+
 // limited reports whether an endpoint takes only a limited number of requests a second. The caller holds the lock.
 func (t *tables) limited(endpoint string) bool {
 	_, limited := t.quota.Limit(limitKey(endpoint))
--- a/entryd/relay/settings.go
+++ b/entryd/relay/settings.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"lentilstage.dev/decide/intake"
 )
 
 type (
@@ -12,6 +14,9 @@
 	Settings struct {
 		Name       string
 		DataCentre string
+		// Region is the region of DataCentre, Regions those of data centres by name; empty if not known.
+		Region  string
+		Regions map[string]string
 		// Listen is the address for callers, ReadyListen for the balancer's health checks,
 		// ControlListen for other daemons that fetch snapshots, PeerListen for messages between
 		// daemons, MetricsListen for metrics. All are IP:port; the last three may be empty.
@@ -30,6 +35,9 @@
 		ReportsUsage    bool
 		OrdersEndpoints bool
 		Limits          Limits
+		// Instance is what the process may use, and Intake replaces limits that are derived from it.
+		Instance intake.Instance
+		Intake   intake.Overrides
 	}
 
 	// Limits are the platform's limits for the daemons.
@@ -92,6 +100,9 @@
 	if !(s.Limits.HedgeShare >= 0 && s.Limits.HedgeShare <= 1) {
 		problems = append(problems, "HedgeShare must be from 0 to 1")
 	}
+	if _, err := intake.Derive(s.Instance, s.Intake); err != nil {
+		problems = append(problems, err.Error())
+	}
 	if len(problems) > 0 {
 		return eris.Wrap(ErrInvalidSettings, strings.Join(problems, "; "))
 	}
