--- a/decide/health/health_test.go
+++ b/decide/health/health_test.go
@@ -113,6 +113,8 @@
 		s.outcomes(words[1], OutcomeKind(words[2]), count, time.Millisecond)
 	case "slow":
 		s.outcomes(words[1], Succeeded, count, time.Second)
+	case "overtaken":
+		s.outcomes(words[1], Overtaken, count, time.Second)
 	case "slow-all":
 		for range count {
 			for _, m := range s.members {
--- a/entryd/relay/hedge.go
+++ b/entryd/relay/hedge.go
@@ -176,7 +176,11 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.claimed || !d.budget.requestHedge(retry.Delayed{Time: now, HedgeAt: hedgeAt, Attempt: retry.Attempt{
+	if r.claimed {
+		d.tables.release(next.placed)
+		return "", time.Time{}
+	}
+	if !d.budget.requestHedge(retry.Delayed{Time: now, HedgeAt: hedgeAt, Attempt: retry.Attempt{
 		Request: x.call.ID, Account: x.service, Number: 1, Repeatable: x.mayRepeat(), Sent: true, LatestStart: progress.LatestStart(),
 	}}) {
 		d.tables.release(next.placed)
