--- a/entryd/entry/daemon.go
+++ b/entryd/entry/daemon.go
@@ -12,7 +12,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"lentilstage.dev/decide/config"
+	"lentilstage.dev/decide/intake"
 	"lentilstage.dev/domain/codes"
+	"lentilstage.dev/domain/table"
 	"lentilstage.dev/wire/wire"
 )
 
@@ -42,6 +44,7 @@
 		connections atomic.Int64
 		// forwarded counts the unrepeatable calls in progress for other daemons.
 		forwarded    atomic.Int64
+		callers      *callers
 		listener     net.Listener
 		peerListener net.Listener
 	}
@@ -140,11 +143,17 @@
 
 // listen opens the listeners for callers and for peers.
 func (d *Daemon) listen() error {
-	var err error
-	if d.listener, err = net.Listen("tcp", d.base.Settings.Listen); err != nil {
+	limits, err := d.base.Settings.CallerLimits()
+	if err != nil {
+		return err
+	}
+	d.callers = newCallers(d.base, limits)
+	d.base.Logger.WithName("callers").Info("Limits.", "Limits", DescribeLimits(limits),
+		"MemoryKnown", d.base.Settings.MemoryMB > 0, "DescriptorsKnown", d.base.Settings.MaxDescriptors > 0)
+	if d.listener, err = d.callers.listen(d.base.Settings.Listen, intake.Callers); err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	if d.peerListener, err = net.Listen("tcp", d.base.Settings.PeerListen); err != nil {
+	if d.peerListener, err = d.callers.listen(d.base.Settings.PeerListen, intake.Control); err != nil {
 		_ = d.listener.Close()
 		return eris.Wrap(err, "listen for peers")
 	}
@@ -265,6 +274,15 @@
 		WithRetryAt(d.base.Now().Add(retryDelay))
 }
 
+// checkEvacuation returns a refusal if all endpoints of a route are in evacuated data centres, or nil.
+func (d *Daemon) checkEvacuation(r table.Route) *codes.Refusal {
+	if !d.endpoints.allEvacuated(d.control.State(), r) {
+		return nil
+	}
+	return codes.Refuse(codes.NoEndpoint, "all endpoints of route %s are in evacuated data centres", r.Name).
+		WithRetryAt(d.base.Now().Add(retryDelay))
+}
+
 // call runs a plain call.
 func (d *Daemon) call(call wire.CallRequest, permit config.Permit, repeatable bool) wire.CallReply {
 	if repeatable {
--- a/entryd/relay/hedge.go
+++ b/entryd/relay/hedge.go
@@ -146,6 +146,9 @@
 	if now.After(progress.LatestStart()) {
 		return tooLate, time.Time{}
 	}
+	if d.tables.short(x.service) {
+		return retry.Shortage, time.Time{}
+	}
 	if reason, withheld := d.budget.withholdsHedge(x.service, now); withheld {
 		return reason, time.Time{}
 	}
@@ -357,6 +360,14 @@
 	t.speeds.record(endpoint)(observed.Get())
 }
 
+// short reports whether the daemons divide the capacity of a service, since it does not suffice.
+func (t *tables) short(service string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	d, known := t.demand[service]
+	return known && d.division.Short()
+}
+
 // limited reports whether an endpoint takes only a limited number of requests a second. The caller holds the lock.
 func (t *tables) limited(endpoint string) bool {
 	_, limited := t.quota.Limit(limitKey(endpoint))
