--- a/entryd/relay/settings.go
+++ b/entryd/relay/settings.go
@@ -55,6 +55,9 @@
 		RetryRatio     float64
 		RetryAllowance int
 		RetryWindow    time.Duration
+		// HedgeShare of the requests may get a copy at a second endpoint, inside the limits of retries; 0 for none.
+		// The operator sets it.
+		HedgeShare float64
 		// ReportInterval is how often an endpoint renews its registration; 0 if not known.
 		ReportInterval time.Duration
 		// ColdOverrun times the rate that a cold endpoint tolerates plus ColdTolerance is the most requests that it may
@@ -94,6 +97,9 @@
 	if s.Limits.RetryRatio < 0 || s.Limits.RetryRatio > 1 {
 		problems = append(problems, "RetryRatio must be from 0 to 1")
 	}
+	if !(s.Limits.HedgeShare >= 0 && s.Limits.HedgeShare <= 1) {
+		problems = append(problems, "HedgeShare must be from 0 to 1")
+	}
 	if _, err := intake.Derive(s.Instance, s.Intake); err != nil {
 		problems = append(problems, err.Error())
 	}
