gate: bound the connections that were shed and are still open; a caller's close within a body

The account no longer counts a connection that was shed, but its descriptor stays in use until its refusal is sent: TestHostileStops reached 417 of 512 descriptors. At most 16 such connections are open now; a further one closes the oldest. After a caller's close within a body, net/http reads in its second goroutine, which raced with the handler's.

--- a/entryd/gate/body.go
+++ b/entryd/gate/body.go
@@ -178,6 +178,10 @@
 		c.body.marked = c.body.read
 		c.markProgress(now)
 	}
+	if errors.Is(err, io.EOF) {
+		// The caller has left. net/http now reads in its other goroutine, as after a complete body.
+		c.phase = servedPhase
+	}
 	if c.phase == servedPhase {
 		c.gate.update(func() { c.gate.account.Serving(c.holder, now) })
 	}
--- a/entryd/gate/conn.go
+++ b/entryd/gate/conn.go
@@ -502,14 +502,16 @@
 }
 
 // shed ends a connection to make room. A request whose body is being read is refused by its handler, and one that is read
-// from an idle connection at this moment by the account, which has forgotten the connection.
-func (c *Conn) shed(s intake.Shed) {
+// from an idle connection at this moment by the account, which has forgotten the connection. closed reports whether the
+// connection is closed already.
+func (c *Conn) shed(s intake.Shed) (closed bool) {
 	c.shedReason.Store(&s.Reason)
 	if (s.Phase == intake.Reading || s.Phase == intake.Idle) && !c.lingering.Load() {
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-		return
+		return false
 	}
 	_ = c.Close()
+	return true
 }
 
 // closeIdle ends the wait for a further request. A request that is read at this moment is served.
--- a/entryd/gate/gate.go
+++ b/entryd/gate/gate.go
@@ -29,6 +29,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -71,6 +72,8 @@
 		conns   map[*Conn]struct{}
 		sweptAt time.Time
 		notes   map[string]*note
+		// ending holds connections that were shed and may still send a refusal, in their order.
+		ending []*Conn
 	}
 
 	// note limits the log lines about one kind of event.
@@ -104,6 +107,8 @@
 	// acceptPause follows a failure to accept because all descriptors are in use.
 	acceptPause      = 5 * time.Millisecond
 	waitPollInterval = 10 * time.Millisecond
+	// maxEnding is the number of connections that were shed and may be open to send a refusal.
+	maxEnding = 16
 	// sendBuffer is the size of a caller's send buffer. Without a limit, the kernel holds up to 4 MB of a response
 	// that nobody reads.
 	sendBuffer = 128 << 10
@@ -282,11 +287,30 @@
 func (g *Gate) end(list []intake.Shed) {
 	for _, s := range list {
 		conn := s.Holder.Tag.(*Conn)
-		conn.shed(s)
+		if !conn.shed(s) {
+			g.boundEnding(conn)
+		}
 		g.note(string(s.Reason), "Address", addressOf(conn.Conn), "Phase", s.Phase.String())
 	}
 }
 
+// boundEnding closes the connections that were shed first once more than maxEnding are open: the account no longer counts
+// them, and a busy instance would run out of descriptors.
+func (g *Gate) boundEnding(conn *Conn) {
+	g.mutex.Lock()
+	g.ending = append(slices.DeleteFunc(g.ending, func(c *Conn) bool { return c.closed.Load() }), conn)
+	var oldest *Conn
+	if len(g.ending) > maxEnding {
+		oldest = g.ending[0]
+		g.ending = slices.Delete(g.ending, 0, 1)
+	}
+	g.mutex.Unlock()
+	if oldest != nil {
+		// Close waits until the descriptor is free.
+		_ = oldest.Close()
+	}
+}
+
 // note counts an event of the gate and logs it, at most once in noteInterval for each kind.
 func (g *Gate) note(event string, fields ...any) {
 	g.options.Count("Gate." + event)
--- a/entryd/gate/gate_test.go
+++ b/entryd/gate/gate_test.go
@@ -360,6 +360,23 @@
 	}
 }
 
+// TestShedConnectionsEnd guards against connections that were shed and stay open: the account no longer counts them, so
+// that the process would run out of descriptors.
+func TestShedConnectionsEnd(t *testing.T) {
+	limits := testLimits(t)
+	// closing is the number of connections that may be in the middle of their close.
+	const closing = 10
+	limits.Connections[intake.Callers], limits.StallTime = 20, time.Millisecond
+	b := newTestbed(t, limits, echo)
+	for i := range 200 {
+		b.write(b.dial(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\nabc")
+		time.Sleep(2 * time.Millisecond)
+		if open := len(b.gate.list()); open > 20+maxEnding+closing {
+			t.Fatalf("%d connections are open after %d", open, i+1)
+		}
+	}
+}
+
 // TestSlowReader guards against a caller that sends requests and reads no responses: neither its requests nor its
 // responses may pile up, and its connection ends.
 func TestSlowReader(t *testing.T) {
