--- a/entryd/relay/demand.go
+++ b/entryd/relay/demand.go
@@ -1,13 +1,16 @@
 package relay
 
 import (
+	"cmp"
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"lentilstage.dev/decide/admit"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/share"
+	"lentilstage.dev/domain/setup"
 )
 
 type (
@@ -17,6 +20,9 @@
 		offered, refused *share.Meter
 		schedule         *admit.Schedule
 		supply           share.Supply
+		division         *share.Division
+		// capacity is the work per second that the endpoints completed at the last tick.
+		capacity float64
 	}
 
 	// demandShare is the demand of one or more daemons, in seconds of endpoint time.
@@ -37,6 +43,21 @@
 		returned bool
 		// expected is the time that endpoints need for requests that were told to return about now.
 		expected time.Duration
+		// division is how the request stands in the division of the capacity between accounts, share the part of its
+		// account's requests that has room.
+		division share.Standing
+		share    float64
+		// urgentTarget is the lowest target of more urgent routes of the service in a shortage; 0 if there are none.
+		urgentTarget time.Duration
+	}
+
+	// shortageChange reports that a shortage of a service has begun or ended.
+	shortageChange struct {
+		service                    string
+		short                      bool
+		offered, refused, capacity float64
+		// accounts is the number of accounts, above that of those that ask for more than their share.
+		accounts, above int
 	}
 
 	// promise is when a refused caller should return, with what that was based on.
@@ -62,6 +83,9 @@
 	// demandTTL is how long a peer's demand holds without a newer one. After it, this daemon's own demand stands for
 	// that of each daemon.
 	demandTTL = 2 * time.Second
+	// maxReportedAccounts limits the accounts of a service in a message; otherAccounts stands for the others.
+	maxReportedAccounts = 64
+	otherAccounts       = 0
 	// plainRequestSeconds is the time that a request to a plain service occupies a slot.
 	plainRequestSeconds = 0.05
 )
@@ -78,7 +102,7 @@
 func (t *tables) serviceDemand(service string) *serviceDemand {
 	s := t.demand[service]
 	if s == nil {
-		s = &serviceDemand{offered: share.NewMeter(), refused: share.NewMeter(), schedule: admit.NewSchedule()}
+		s = &serviceDemand{offered: share.NewMeter(), refused: share.NewMeter(), schedule: admit.NewSchedule(), division: share.NewDivision(t.phase)}
 		t.demand[service] = s
 	}
 	return s
@@ -104,15 +128,37 @@
 func (t *tables) standing(key demandKey, waitsUntil, now time.Time) standing {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	var s standing
+	s := standing{share: 1}
 	s.spent = t.patience.Spent(key.route+"\x00"+key.account, waitsUntil.Sub(now), now)
 	s.returned = admit.Request{Spent: s.spent}.Returns()
 	if d, known := t.demand[key.service]; known {
-		s.expected = d.schedule.Expected(admit.Outlook{Capacity: d.supply.Capacity(t.readyEndpoints(key.service))}, t.wall(now))
+		s.expected = d.schedule.Expected(admit.Outlook{Capacity: d.capacity}, t.wall(now))
+		if d.division.Short() {
+			account := shortID(key.account)
+			s.division, s.share = d.division.Take(account, s.returned), d.division.Fraction(account)
+			s.urgentTarget = urgentTarget(t.config, key)
+		}
 	}
 	return s
 }
 
+// urgentTarget returns the lowest target of the routes of a service that are more urgent than a request's; 0 if there are
+// none.
+func urgentTarget(config *setup.Config, key demandKey) time.Duration {
+	own := slices.IndexFunc(config.Routes, func(r setup.Route) bool { return r.Name == key.route })
+	if own < 0 {
+		return 0
+	}
+	var lowest time.Duration
+	for _, r := range config.Routes {
+		serves := slices.ContainsFunc(r.ServiceWeights, func(w setup.ServiceWeight) bool { return w.Service == key.service })
+		if serves && r.Priority < config.Routes[own].Priority && r.LatencyTarget > 0 && (lowest == 0 || r.LatencyTarget < lowest) {
+			lowest = r.LatencyTarget
+		}
+	}
+	return lowest
+}
+
 // refuse counts a request that is refused for overload and returns when its caller should send it again.
 func (t *tables) refuse(key demandKey, r admit.Return, random float64, now time.Time) promise {
 	t.mutex.Lock()
@@ -127,15 +173,17 @@
 	return p
 }
 
-// readyEndpoints returns the number of endpoints of a service that may get requests. The caller holds the lock.
-func (t *tables) readyEndpoints(service string) int {
-	count := 0
+// readySpeed returns the sum of the speeds of the endpoints of a service that may get requests, as multiples of the usual
+// one. The caller holds the lock.
+func (t *tables) readySpeed(service string) float64 {
+	sum := 0.0
 	for _, e := range t.endpoints {
 		if e.Service == service && t.available(e) {
-			count++
+			// It is 0 if the endpoints don't differ.
+			sum += cmp.Or(t.speeds.factor(e), 1)
 		}
 	}
-	return count
+	return sum
 }
 
 // outlook returns what is known of the work of a service on all daemons. The caller holds the lock.
@@ -148,7 +196,7 @@
 	for _, rate := range t.othersDemand(service, now).offered {
 		offered += rate
 	}
-	return admit.Outlook{Capacity: d.supply.Capacity(t.readyEndpoints(service)), Offered: offered}
+	return admit.Outlook{Capacity: d.supply.Capacity(t.readySpeed(service)), Offered: offered}
 }
 
 // othersDemand returns the demand of the other daemons. The caller holds the lock.
@@ -243,11 +291,67 @@
 // tickDemand takes up what the last messages tell of the demand and removes what is past. The caller holds the lock.
 func (t *tables) tickDemand(now time.Time) {
 	for service, d := range t.demand {
-		others := t.othersDemand(service, now)
-		d.schedule.SetOthers(others.promised, t.wall(now))
+		all := t.othersDemand(service, now)
+		d.schedule.SetOthers(all.promised, t.wall(now))
 		outlook := t.outlook(service, now)
-		d.supply = d.supply.With(outlook.Offered, others.refused+d.refused.Rates(now)[""], t.readyEndpoints(service), now)
+		own := t.ownShare(service, now)
+		own.promised = nil
+		all.add(own, 1)
+		d.supply = d.supply.With(outlook.Offered, all.refused, t.readySpeed(service), now)
+		d.capacity = outlook.Capacity
 		d.schedule.Update(outlook, t.wall(now))
+		if d.division.Update(share.Load{Offered: all.offered, Refused: all.refused, Capacity: outlook.Capacity}, now) {
+			t.shortageChanges = append(t.shortageChanges, shortageChange{
+				service: service, short: d.division.Short(), offered: outlook.Offered, refused: all.refused, capacity: outlook.Capacity,
+				accounts: len(all.offered), above: d.division.Above(),
+			})
+		}
+	}
+}
+
+// drainShortages returns the shortages that have begun or ended since the last call.
+func (t *tables) drainShortages() []shortageChange {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	changes := t.shortageChanges
+	t.shortageChanges = nil
+	return changes
+}
+
+// serviceLoads returns the demand of each service for the gauges.
+func (t *tables) serviceLoads(now time.Time) map[string]serviceGauges {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	loads := make(map[string]serviceGauges, len(t.demand))
+	for service, d := range t.demand {
+		outlook := t.outlook(service, now)
+		loads[service] = serviceGauges{offered: outlook.Offered, capacity: outlook.Capacity, above: d.division.Above()}
+	}
+	return loads
+}
+
+// serviceGauges is what the gauges tell of a service.
+type serviceGauges struct {
+	offered, capacity float64
+	above             int
+}
+
+// logDemand logs shortages that have begun or ended, and sets the gauges.
+func (d *Daemon) logDemand() {
+	logger := d.logger.WithName("demand")
+	for _, c := range d.tables.drainShortages() {
+		message := "Shortage ended."
+		if c.short {
+			message = "Shortage began."
+			d.meters.count("Shortages.Begun")
+		}
+		logger.Info(message, "Service", c.service, "Offered", c.offered, "Refused", c.refused, "Capacity", c.capacity,
+			"Accounts", c.accounts, "AboveShare", c.above)
+	}
+	for service, g := range d.tables.serviceLoads(d.clock.now()) {
+		d.meters.setGauge("Demand.OfferedMilliseconds."+service, int64(toMilliseconds(g.offered)))
+		d.meters.setGauge("Demand.CapacityMilliseconds."+service, int64(toMilliseconds(g.capacity)))
+		d.meters.setGauge("Demand.AccountsAboveShare."+service, int64(g.above))
 	}
 }
 
@@ -286,13 +390,19 @@
 	return reports
 }
 
-// newDemandReport returns a demand for a message.
+// newDemandReport returns a demand for a message. The accounts that offer least are added up if there are many.
 func newDemandReport(s demandShare, wall time.Time) demandReport {
 	r := demandReport{Offered: make(map[uint32]int, len(s.offered)), Refused: toMilliseconds(s.refused)}
 	r.FirstSlot, r.Promised = admit.Pack(s.promised, wall)
-	for account, rate := range s.offered {
-		if ms := toMilliseconds(rate); ms > 0 {
-			r.Offered[account] = ms
+	accounts := slices.SortedFunc(maps.Keys(s.offered), func(a, b uint32) int {
+		return cmp.Or(cmp.Compare(s.offered[b], s.offered[a]), cmp.Compare(a, b))
+	})
+	for i, account := range accounts {
+		if i >= maxReportedAccounts {
+			account = otherAccounts
+		}
+		if ms := toMilliseconds(s.offered[accounts[i]]); ms > 0 {
+			r.Offered[account] += ms
 		}
 	}
 	return r
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -11,6 +11,7 @@
 	"lentilstage.dev/decide/homes"
 	"lentilstage.dev/decide/poison"
 	"lentilstage.dev/decide/retry"
+	"lentilstage.dev/decide/share"
 	"lentilstage.dev/decide/suspect"
 	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/entryd/gate"
@@ -59,6 +60,10 @@
 		suspect suspect.Key
 		// parts identifies the parts of the prompt that other requests may have too.
 		parts []poison.Key
+		// race is set while a copy of the request may run beside its first attempt; lane is then the attempt that
+		// this exchange belongs to.
+		race *race
+		lane lane
 		// failedResponse is an endpoint's own error response. It is forwarded if no other attempt
 		// succeeds.
 		failedResponse *bufferedResponse
@@ -90,6 +95,8 @@
 	stalled outcome = "Stalled"
 	// deadlinePassed: the request's deadline has passed.
 	deadlinePassed outcome = "Late"
+	// superseded: another attempt of the request was answered first.
+	superseded outcome = "Superseded"
 	// callerGone: the caller has closed the connection.
 	callerGone outcome = "CallerGone"
 
@@ -120,9 +127,8 @@
 		}
 		x.countReturn(len(x.tried))
 		x.tried[next.endpoint.ID] = true
-		result := x.attempt(ctx, next, sends)
-		d.tables.release(next.placed)
-		d.meters.count("Attempts." + string(result))
+		result, copies := x.attemptHedged(ctx, next, sends)
+		sends += copies
 		if x.responseStarted && (x.route.Kind != setup.Stream || x.positionUnknown) && result != delivered && result != callerGone {
 			// Only a stream can go on at another endpoint, after an event that has an identifier.
 			x.fail(result, string(result))
@@ -217,7 +223,7 @@
 // the response is being read.
 func (x *exchange) selectEndpoint(responseStarted bool) (selection, bool) {
 	return x.selectFrom(placeRequest{
-		tried: x.tried, fits: func(p choice.Picked) bool { return x.checkAdmission(p, responseStarted).Admitted },
+		tried: x.triedByAll(), fits: func(p choice.Picked) bool { return x.checkAdmission(p, responseStarted).Admitted },
 	})
 }
 
@@ -315,6 +321,7 @@
 		Wait: milliseconds(picked.Wait), Own: milliseconds(picked.Own()),
 		Target: x.route.LatencyTarget, Left: x.deadline.Sub(now), Rank: x.route.Priority,
 		Answer: x.answerTime(picked), StopAt: x.daemon.stopTime(), Spent: x.standing.spent, Expected: x.standing.expected,
+		Standing: x.standing.division, UrgentTarget: x.standing.urgentTarget,
 	}, now)
 }
 
@@ -342,7 +349,7 @@
 			Work: next.placed.work, Earliest: verdict.EarliestRetry, Deadline: x.waitsUntil(),
 		}, d.random(), d.clock.now())
 		retryAt = promised.RetryAt
-		fields = append(fields, "Returned", x.standing.returned, "Slot", promised.Slot, "Room", promised.Room,
+		fields = append(fields, "Standing", x.standing.division, "Share", x.standing.share, "Returned", x.standing.returned, "Slot", promised.Slot, "Room", promised.Room,
 			"Work", int(1000*next.placed.work), "Offered", promised.Offered, "Capacity", promised.Capacity, "Usual", promised.Usual)
 		x.countOverload(promised.Room)
 	}
@@ -359,6 +366,9 @@
 // countOverload counts a refusal for overload by whether the request seems to have been refused before.
 func (x *exchange) countOverload(room bool) {
 	m := x.daemon.meters
+	if x.standing.division != share.Undivided {
+		m.count("Overload." + x.standing.division.String())
+	}
 	if x.standing.returned {
 		m.count("Overload.Again")
 	} else {
@@ -487,5 +497,8 @@
 		return
 	}
 	x.usageCounted = true
+	if x.race != nil && !x.race.usageCounted.CompareAndSwap(false, true) {
+		return
+	}
 	x.daemon.tables.countUsage(x.account.Name, x.daemon.clock.wallNow())
 }
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -114,6 +114,10 @@
 		demandSentAt map[messageKind]time.Time
 		ownDemand    map[uint32]demandShare
 		patience     admit.Patience
+		// shortageChanges are the shortages that have begun or ended and are to be logged.
+		shortageChanges []shortageChange
+		// phase is a number in [0, 1) that differs between daemons.
+		phase float64
 		// daemons is the number of known daemons, wallOffset the difference between the time of day that the daemons
 		// agree on and this daemon's clock.
 		daemons    int
@@ -208,7 +212,7 @@
 		warmth: map[uint32]warmth{}, coldLimits: map[uint32]float64{}, coldOverrun: s.Limits.ColdOverrun, coldTolerance: s.Limits.ColdTolerance,
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
 		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{}, speeds: newEndpointSpeeds(),
-		demand: map[string]*serviceDemand{}, demandSentAt: map[messageKind]time.Time{}, daemons: 1,
+		demand: map[string]*serviceDemand{}, demandSentAt: map[messageKind]time.Time{}, daemons: 1, phase: quotaPhase(s.Name),
 	}
 }
 
@@ -481,6 +485,9 @@
 			found.leaving = append(found.leaving, c)
 			continue
 		}
+		if r.copy && (status.State != health.Healthy || t.cold(e.ID) || t.limited(e.ID)) {
+			continue
+		}
 		until, reason := t.closedUntil(e, offered, now)
 		if r.only != "" && reason == limitReached && !t.cold(e.ID) {
 			// The response has begun there and can go on nowhere else. The request is deducted from the limit.
@@ -605,6 +612,10 @@
 	only string
 	// fits reports whether a choice would be admitted. It is called with the tables locked.
 	fits func(choice.Picked) bool
+	// copy is set if the call is a copy beside another attempt. Endpoints that are unhealthy, cold or limited get none.
+	copy bool
+	// accepts reports whether the choice is taken; nil takes each one. It is called with the tables locked.
+	accepts func(choice.Picked) bool
 }
 
 func (r placeRequest) excludes(id string) bool {
@@ -626,7 +637,7 @@
 	found := t.candidates(r, now)
 	request.Sources = found.leaving
 	picked, ok := choice.Pick(request, t.usable(r.service, found, random()), random)
-	if !ok {
+	if !ok || r.accepts != nil && !r.accepts(picked) {
 		return setup.Endpoint{}, picked, nil, false
 	}
 	endpoint, _ := t.endpoint(picked.Candidate.ID)
