--- a/entryd/entry/callers.go
+++ b/entryd/entry/callers.go
@@ -287,6 +287,8 @@
 		if cost := int64(headBytes) * headFactor; cost < c.headBytes*headFactor {
 			c.callers.account.Head(c.holder, cost, now)
 		}
+		// A request that was sent ahead follows without a read, which would release the body of the one before.
+		c.callers.account.Body(c.holder, 0, now)
 		c.callers.account.Serving(c.holder, now)
 	})
 }
