--- a/entryd/relay/demand_test.go
+++ b/entryd/relay/demand_test.go
@@ -170,12 +170,18 @@
 		if got := d.demand["pool"].capacity; got != 4 {
 			t.Errorf("daemon %d expects a capacity of %.1f, want that of 4 endpoints", i, got)
 		}
+		if d.short("pool") {
+			t.Errorf("daemon %d withholds copies without a shortage", i)
+		}
 		if s := d.standing(demandKeyOf("surging"), now.Add(3*time.Second), now); s.division != share.Undivided || s.urgentTarget != 0 {
 			t.Errorf("daemon %d divides without a shortage: %+v", i, s)
 		}
 	}
 	run(3*time.Second, 5, 0.2)
 	for i, d := range daemons {
+		if !d.short("pool") {
+			t.Errorf("daemon %d sends copies in a shortage", i)
+		}
 		s, usual := d.standing(demandKeyOf("surging"), now.Add(3*time.Second), now), d.standing(demandKeyOf("usual"), now.Add(3*time.Second), now)
 		if s.division != share.Within && s.division != share.Beyond || s.share < 0.3 || s.share > 0.7 {
 			t.Errorf("daemon %d: the surging account is %v with a share of %.2f", i, s.division, s.share)
