relay: the test of endpoints without copies fails without the rule

Cause: the limited endpoint's share was empty at the time of the test, so it got no attempt of any kind. Run: go test ./entryd/relay -run Copies; fails with the rule taken out.

--- a/entryd/relay/hedge_test.go
+++ b/entryd/relay/hedge_test.go
@@ -32,6 +32,24 @@
 	tables.recordLimit(endpoints["limited"], value.Some(1000.0), now)
 	tables.recordRejection(endpoints["rejecting"], now.Add(time.Minute), now)
 	tables.recordLeaving(endpoints["leaving"])
+	now = now.Add(2 * time.Second)
+	others := map[string]bool{"tried": true, "sound": true}
+	if e, _, _, ok := tables.place(placeRequest{service: "pool", target: time.Second, tried: others, copy: true}, now, func() float64 { return 0 }); ok {
+		t.Errorf("the copy goes to %q", e.ID)
+	}
+	first := map[string]bool{}
+	for range 2 {
+		// Each of them may get a first attempt.
+		e, _, placed, ok := tables.place(placeRequest{service: "pool", target: time.Second, tried: others}, now, func() float64 { return 0 })
+		if !ok {
+			break
+		}
+		tables.release(placed)
+		others[e.ID], first[e.ID] = true, true
+	}
+	if !first["cold"] || !first["limited"] {
+		t.Errorf("first attempts go to %v, want the cold and the limited endpoint", first)
+	}
 	for i := range 50 {
 		random := func() float64 { return float64(i) / 50 }
 		r := placeRequest{service: "pool", target: time.Second, tried: map[string]bool{"tried": true}, copy: true}
