--- a/decide/retry/retry.go
+++ b/decide/retry/retry.go
@@ -14,6 +14,13 @@
 //	case retry.GiveUp: ... // refuse with c.Refusal
 //	}
 //
+// A slow first attempt may get a copy: Progress tells from which time on that is worth its cost, Observed counts how
+// many attempts are slow, and Delayed asks for a Hedge.
+//
+//	if at, inTime := progress.HedgeAt(); inTime && !now.Before(at) {
+//		budget, commands = budget.Update(retry.Delayed{Time: now, Attempt: attempt, HedgeAt: at})
+//	}
+//
 // Update may change the budget that it is called on: use only the returned one.
 package retry
 
--- a/entryd/platform.go
+++ b/entryd/platform.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"strconv"
 
 	"github.com/go-logr/logr"
 	"github.com/google/subcommands"
@@ -20,8 +21,8 @@
 type platformCommand struct {
 	settings string
 	check    bool
-	// hedgeShare replaces the setting of that name; -1 if the flag was not given.
-	hedgeShare float64
+	// hedgeShare replaces the setting hedge.share; nil if the flag was not given.
+	hedgeShare *float64
 	verbose    bool
 }
 
@@ -40,7 +41,12 @@
 func (p *platformCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&p.settings, "settings", adapt.SettingsPath(), "the platform's settings `file`")
 	f.BoolVar(&p.check, "check", false, "check the settings and exit")
-	f.Float64Var(&p.hedgeShare, "hedge-share", -1, "the `share` of requests that may get a copy, from 0 to 1 (default: hedge.share in the settings file, or 0)")
+	f.Func("hedge-share", "the `share` of requests that may get a copy, from 0 to 1 (default: hedge.share in the settings file, or 0)",
+		func(text string) error {
+			share, err := strconv.ParseFloat(text, 64)
+			p.hedgeShare = &share
+			return err
+		})
 	f.BoolVar(&p.verbose, "verbose", false, "log details")
 }
 
@@ -51,8 +57,8 @@
 		fmt.Fprintln(os.Stderr, "entryd:", err)
 		return subcommands.ExitUsageError
 	}
-	if p.hedgeShare != -1 {
-		file.Settings.Limits.HedgeShare = p.hedgeShare
+	if p.hedgeShare != nil {
+		file.Settings.Limits.HedgeShare = *p.hedgeShare
 		if err := file.Settings.Check(); err != nil {
 			fmt.Fprintln(os.Stderr, "entryd: -hedge-share:", err)
 			return subcommands.ExitUsageError
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -17,6 +17,7 @@
 //   - rollout, timing: roll-outs, and the comparison of the new version with the old one
 //   - leader: the lease of the platform calls that only one daemon at a time may make
 //   - server, exchange, attempt, stream: the path of a request
+//   - hedge: copies of requests whose first attempt is slow
 //   - pool: the connections to endpoints
 //
 // # Usage
