--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -51,6 +51,8 @@
 		// responseStarted reports whether a part of the response was sent to the caller.
 		responseStarted bool
 		usageCounted    bool
+		// lost is the last response that broke off before it began; nil if none did.
+		lost *lostResponse
 		// lastEvent is the last event that was sent to the caller.
 		lastEvent string
 		// positionUnknown reports whether an event without an identifier was sent to the caller, so that no
@@ -76,6 +78,13 @@
 		placed   *placement
 	}
 
+	// lostResponse is a response of which nothing arrived although the request was sent.
+	lostResponse struct {
+		address string
+		// at is when the connection broke, as a time of day.
+		at time.Time
+	}
+
 	// outcome is how an attempt ended.
 	outcome string
 )
@@ -102,6 +111,8 @@
 
 	// noEndpointRetry is the delay after which a caller may retry if no endpoint serves the request.
 	noEndpointRetry = 400 * time.Millisecond
+	// lostCheckTimeout limits the check whether an endpoint lives after it has broken a connection.
+	lostCheckTimeout = 300 * time.Millisecond
 	// maxDials limits the failed connections for one request.
 	maxDials = 4
 )
@@ -449,6 +460,30 @@
 	default:
 		x.refuse(http.StatusBadGateway, reason, time.Time{})
 	}
+	x.countLostResponse()
+}
+
+// countLostResponse counts a request whose response was lost for the usage report if the endpoint still accepts
+// connections: its process lives and has most likely run the request. Of those at an endpoint that has crashed, most
+// were still waiting.
+func (x *exchange) countLostResponse() {
+	d := x.daemon
+	if x.lost == nil || x.usageCounted || x.account.Name == "" {
+		return
+	}
+	// The caller does not wait for the check.
+	_ = http.NewResponseController(x.writer).Flush()
+	ctx, cancel := context.WithTimeout(d.ended, lostCheckTimeout)
+	defer cancel()
+	c, err := d.pool.dial(ctx, x.lost.address)
+	if err != nil {
+		x.log("Not counted.", "Reason", "EndpointUnreachable", "Error", err.Error())
+		return
+	}
+	d.pool.put(c, http.Header{})
+	x.usageCounted = true
+	d.tables.countUsage(x.account.Name, x.lost.at)
+	x.log("Counted without a response.")
 }
 
 // abort breaks off a response that has begun, so that the caller notices.
