--- a/entryd/relay/hedge.go
+++ b/entryd/relay/hedge.go
@@ -264,6 +264,9 @@
 	if x.failedResponse == nil {
 		x.failedResponse = r.copy.failedResponse
 	}
+	if x.lost == nil {
+		x.lost = r.copy.lost
+	}
 	if r.copy.reserved != nil {
 		x.reserved, x.silent, x.returnGranted = r.copy.reserved, r.copy.silent, r.copy.returnGranted
 	}
