--- a/entryd/relay/digest.go
+++ b/entryd/relay/digest.go
@@ -330,6 +330,9 @@
 func (t *tables) becomeHub(others func() []hubs.Report, now time.Time) {
 	t.mutex.Lock()
 	follows := t.followsHub
+	if follows || t.hubSince.IsZero() {
+		t.hubSince = now
+	}
 	if follows {
 		t.followsHub, t.hub = false, ""
 		t.speeds.seed(now)
--- a/entryd/relay/leader.go
+++ b/entryd/relay/leader.go
@@ -54,6 +54,9 @@
 	callTimeout    = 800 * time.Millisecond
 	// usageSettleTime is the wait after a window's end for the peers' last digests.
 	usageSettleTime = 1500 * time.Millisecond
+	// hubSettleTime is the time from which a new hub has the counts of all windows: they reach the hub of each data
+	// centre, and then the other hubs, within countsInterval each.
+	hubSettleTime = 2*countsInterval + 500*time.Millisecond
 	// keptFinalWindows is the number of final windows in the record.
 	keptFinalWindows = 5
 	// fenceUnread means that the final counts were not read under the present lease.
@@ -238,6 +241,9 @@
 		if !ok && window < l.lostBefore {
 			continue
 		}
+		if !ok && !d.tables.countsSettled(d.clock.now()) {
+			return
+		}
 		if !ok {
 			if counts = d.tables.usageTotals(window); len(counts) == 0 {
 				continue
@@ -330,6 +336,13 @@
 	l.daemon.logger.WithName("duty").Info(message, fields...)
 }
 
+// countsSettled reports whether this daemon has been its own hub long enough to have received the counts of all others.
+func (t *tables) countsSettled(now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.hubSince.IsZero() || now.Sub(t.hubSince) >= hubSettleTime
+}
+
 // window returns the usage window that contains a time.
 func (t *tables) window(at time.Time) int64 { return t.usage.Window(at) }
 
--- a/entryd/relay/restored_test.go
+++ b/entryd/relay/restored_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"lentilstage.dev/decide/hubs"
 	"lentilstage.dev/decide/shift"
 	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/domain/value"
@@ -384,3 +385,30 @@
 		t.Error("the lease is not taken at the second step")
 	}
 }
+
+// TestNewHubWaitsForCounts guards against a lease holder that has just become a hub and reports a window before the
+// others' counts have arrived.
+func TestNewHubWaitsForCounts(t *testing.T) {
+	t.Parallel()
+	dt := &dutyTest{t: t, now: time.Unix(1000, 0), log: &memoryLog{era: 1, streams: map[Stream][]Record{}}}
+	counted := dt.now
+	holder := dt.daemon("entry-1", 3, counted)
+	window := holder.tables.window(counted)
+	dt.now = dt.now.Add(8 * time.Second)
+	holder.tables.becomeHub(func() []hubs.Report { return nil }, dt.now)
+	dt.run(holder, 2*time.Second)
+	if got := dt.counts(window); len(got) > 0 {
+		t.Fatalf("window reported with %v before the counts of others can have arrived", got)
+	}
+	follower := newTables(Settings{Name: "entry-2", Limits: Limits{UsageWindow: 5 * time.Second}}, "first")
+	for range 4 {
+		follower.countUsage("counter", counted)
+	}
+	m := follower.digest(dt.now, true)
+	m.Daemon, m.Incarnation = "entry-2", "first"
+	holder.tables.observe(m, dt.now.Add(time.Second), dt.now)
+	dt.run(holder, 2*time.Second)
+	if got := dt.counts(window); !slices.Equal(got, []int64{7}) {
+		t.Errorf("window reported with %v, want 7", got)
+	}
+}
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -52,6 +52,8 @@
 		hubState   peerState
 		followsHub bool
 		hub        string
+		// hubSince is when this daemon last became its own hub; zero before.
+		hubSince time.Time
 		// work is the engine time of the requests that this daemon has placed, in milliseconds by
 		// service. peerWork and centreWork are those of the followers and of the other data centres
 		// since their first messages arrived here.
