--- a/decide/hubs/leave.go
+++ b/decide/hubs/leave.go
@@ -21,17 +21,17 @@
 
 	departure struct {
 		at time.Time
-		// newsAt is when this daemon heard of the leave, or that it is over.
-		newsAt time.Time
+		// heardAt is when this daemon heard of the leave, or that it is over.
+		heardAt time.Time
 		// isOver is set once the daemon was removed.
 		isOver bool
 	}
 )
 
 const (
-	// leaveNewsTTL is how long a daemon passes on what it has heard of a leave. It outlasts lost messages
+	// leaveRepeatTime is how long a daemon passes on what it has heard of a leave. It outlasts lost messages
 	// and a change of the hub.
-	leaveNewsTTL = 5 * time.Second
+	leaveRepeatTime = 5 * time.Second
 	// maxLeaves limits the leaves in a message, each of about 50 bytes; the newest come first.
 	maxLeaves = 24
 	// leaveCopies is the number of daemons that a leaving one tells directly besides the hubs and standbys.
@@ -44,7 +44,7 @@
 // AnnounceLeave records that this process ends as planned and uses its part until a time. From then on it is the
 // last choice as a hub.
 func (s *State) AnnounceLeave(at, now time.Time) {
-	s.leaves[s.self.process()] = departure{at: at, newsAt: now}
+	s.leaves[s.self.process()] = departure{at: at, heardAt: now}
 	s.self.Leaving = true
 	s.hubs = nil
 }
@@ -57,17 +57,17 @@
 	if l.Name == s.self.Name || known && !l.At.Before(d.at) || !known && len(s.leaves) >= maxDepartures {
 		return false
 	}
-	isNews := !known || d.at.After(now) && !l.At.After(now)
+	isNew := !known || d.at.After(now) && !l.At.After(now)
 	d.at = l.At
-	if isNews {
-		d.newsAt = now
+	if isNew {
+		d.heardAt = now
 	}
 	s.leaves[p] = d
 	if k, ok := s.known[l.Name]; ok && k.process() == p {
 		k.Leaving = true
 	}
 	s.hubs = nil
-	return isNews
+	return isNew
 }
 
 // Departures removes the daemons whose processes use their parts no longer and returns them. A daemon that has
@@ -112,14 +112,14 @@
 	if len(s.leaves) == 0 {
 		return nil
 	}
-	news := func(p process) time.Time { return s.leaves[p].newsAt }
+	news := func(p process) time.Time { return s.leaves[p].heardAt }
 	processes := slices.SortedFunc(maps.Keys(s.leaves), func(a, b process) int {
 		return cmp.Or(news(b).Compare(news(a)), cmp.Compare(a.name, b.name))
 	})
 	var leaves []Leave
 	for _, p := range processes {
 		isSelf := p == s.self.process()
-		if (isSelf || now.Sub(news(p)) < leaveNewsTTL) && (isSelf || len(leaves) < maxLeaves) {
+		if (isSelf || now.Sub(news(p)) < leaveRepeatTime) && (isSelf || len(leaves) < maxLeaves) {
 			leaves = append(leaves, Leave{Name: p.name, Incarnation: p.incarnation, At: s.leaves[p].at})
 		}
 	}
--- a/decide/hubs/strangers_test.go
+++ b/decide/hubs/senders_test.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// TestStrangersAreBounded guards against messages and referrals that name any number of daemons, each of which takes
+// TestUnknownSendersAreBounded guards against messages and referrals that name any number of daemons, each of which takes
 // memory and a part of the allowances, and against records that are ignored because of them.
-func TestStrangersAreBounded(t *testing.T) {
+func TestUnknownSendersAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := New(Member{Name: "entry-0", DataCentre: "centre-0", Speed: 1, Incarnation: "1"})
 	for i := range 3 * maxUnlisted {
--- a/decide/intake/senders_test.go
+++ b/decide/intake/senders_test.go
@@ -26,7 +26,7 @@
 	}
 )
 
-// TestSenders guards against datagrams of strangers that cost a process its processor time, and against a bound that
+// TestSenders guards against datagrams of unknown senders that cost a process its processor time, and against a bound that
 // drops the messages of daemons in a large fleet.
 func TestSenders(t *testing.T) {
 	for _, c := range cases.Load[senderScript](t, "testdata/senders.yaml") {
--- a/entryd/relay/cold.go
+++ b/entryd/relay/cold.go
@@ -81,7 +81,7 @@
 	t.refresh(now)
 	_, isCold := t.coldLimits[id]
 	if isCold != wasCold {
-		// The next message of each kind has the news.
+		// The next message of each kind has it.
 		t.digestCold, t.sumCold, t.totalCold = time.Time{}, time.Time{}, time.Time{}
 	}
 	return isCold && !wasCold
--- a/entryd/relay/evacuation.go
+++ b/entryd/relay/evacuation.go
@@ -134,7 +134,7 @@
 	}
 	t.refresh(now)
 	maps.DeleteFunc(t.evacuationRecords, func(name string, _ Record) bool { return !t.evacuations.Known(name) })
-	// The next message of each kind has the news.
+	// The next message of each kind has it.
 	t.digestEvacuations, t.sumEvacuations, t.totalEvacuations = time.Time{}, time.Time{}, time.Time{}
 	reported := make([]evacuationChange, 0, len(changes))
 	for _, c := range changes {
