--- a/decide/choice/choice.go
+++ b/decide/choice/choice.go
@@ -143,9 +143,9 @@
 	// remotePenaltyMS is the penalty for another data centre: network delay and the price of traffic.
 	remotePenaltyMS = 3
 	// ownFraction is the fraction of the target that an engine of known speed may need for the request itself before it
-	// is avoided for its slowness; all candidates are compared if those of the sample are all too slow. Within it, engines are compared by their queues and the request's time at the usual
-	// speed: if each daemon sent each request to the fastest engines, these would have the longest queues before the
-	// next digests.
+	// is avoided for its slowness; all candidates are compared if those of the sample are all too slow. Within it,
+	// engines are compared by their queues and the request's time at the usual speed: if each daemon sent each request
+	// to the fastest engines, these would have the longest queues before the next digests.
 	ownFraction = 0.3
 	// nearBestMS is the range above the lowest cost within which the choice is random.
 	nearBestMS = 8
