--- /dev/null
+++ b/review/stand-2/query.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// queryCase: a request crashes each replica that begins to run it. It comes again with the same path, caller and body, and with
+// another query each time. Each replica is back after 3 s under a new id.
+func queryCase(s *site, trouble bool) {
+	vary := os.Getenv("QUERY") != "same"
+	var mutex sync.Mutex
+	var crashes, reached []time.Time
+	serve := func(r *replica, l *life, c net.Conn, q *http.Request, body []byte) bool {
+		if strings.HasPrefix(string(body), "bad") {
+			mutex.Lock()
+			reached = append(reached, time.Now())
+			s.note("%s %s reaches %s", q.Header.Get("Attempt-Id"), q.RequestURI, l.id)
+			mutex.Unlock()
+			time.Sleep(5 * time.Millisecond)
+			if trouble {
+				mutex.Lock()
+				crashes = append(crashes, time.Now())
+				mutex.Unlock()
+				r.crash(l, 3*time.Second)
+				return false
+			}
+		}
+		time.Sleep(60 * time.Millisecond)
+		_, err := fmt.Fprintf(c, "%sContent-Length: 2\r\n\r\nok", r.head(l, q, "200 OK"))
+		return err == nil
+	}
+	for i := range 6 {
+		s.addReplica("order-desk", []string{"tt-north-a", "tt-north-b", "tt-north-c"}[i%3], 6, serve)
+	}
+	s.store.write("keyed.op", "config", config(route("order", "unsafe", "order-desk", 1, 1500, 300, 2, false)))
+	s.startDaemons(3)
+	s.awaitReady()
+	time.Sleep(4 * time.Second)
+	until := time.Now().Add(40 * time.Second)
+	every(1, until, func() {
+		q := call{method: "POST", path: "/order/a", key: "key-of-hule930", deadline: 3 * time.Second, body: "bad order"}
+		if vary {
+			q.path += fmt.Sprintf("?try=%d", s.ids.Add(1))
+		}
+		r := s.ask(q)
+		s.note("client of %s gets %d %s", r.id, r.status, r.problem)
+	})
+	time.Sleep(time.Second)
+	late := 0
+	for _, at := range reached {
+		if len(crashes) >= 3 && at.After(crashes[2].Add(contact)) {
+			late++
+		}
+	}
+	s.finish(trouble && late > 3, fmt.Sprintf("%d crashes, %d reach later than that", len(crashes), late))
+}
