Review: a completed roll-out is opened again and rolled back

Cause: daemons that all start again take the order that the store keeps for a new one; they don't read the status that the system wrote, and 20 failures roll back the only version there is.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -15,7 +15,7 @@
 	if len(os.Args) != 3 {
 		cannotRun("usage: stand-2 CASE RECORD")
 	}
-	cases := map[string]func(s *site, trouble bool){"page": pageCase, "rollout": rolloutCase, "part": partCase, "query": queryCase}
+	cases := map[string]func(s *site, trouble bool){"page": pageCase, "rollout": rolloutCase, "part": partCase, "query": queryCase, "reopen": reopenCase}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		cannotRun("no such case")
--- a/review/stand-2/rollout.go
+++ b/review/stand-2/rollout.go
@@ -108,7 +108,7 @@
 			phase = "after"
 			mutex.Unlock()
 		}
-		now := s.rolloutState()
+		now := s.rolloutState("lentil-pool")
 		if now == state {
 			continue
 		}
@@ -149,14 +149,14 @@
 	s.finish(trouble && bad && (float64(exposed) > allowed || late > 0), text)
 }
 
-// rolloutState returns the state that the system reports.
-func (s *site) rolloutState() string {
+// rolloutState returns the state of a service's roll-out that the system reports.
+func (s *site) rolloutState(service string) string {
 	s.store.mutex.Lock()
 	defer s.store.mutex.Unlock()
 	var m struct {
 		State string `json:"state"`
 	}
-	_ = json.Unmarshal(s.store.topic("keyed.status").newest["rollout/lentil-pool"].Value, &m)
+	_ = json.Unmarshal(s.store.topic("keyed.status").newest["rollout/"+service].Value, &m)
 	return m.State
 }
 
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -37,14 +37,16 @@
 		record   *bufio.Writer
 		file     *os.File
 		ids      atomic.Int64
-		calls    atomic.Int64
+		// replay names the phase to which requests count.
+		replay func(string)
+		calls  atomic.Int64
 	}
 
 	daemon struct {
-		name, zone, ip, frontend, ready string
-		command                         *exec.Cmd
-		log                             *os.File
-		exited                          chan struct{}
+		name, zone, ip, frontend, ready, settings string
+		command                                   *exec.Cmd
+		log                                       *os.File
+		exited                                    chan struct{}
 	}
 
 	// replica is a server. serve answers one request and reports whether the channel stays open.
@@ -57,6 +59,7 @@
 		mutex             sync.Mutex
 		life              *life
 		starts            int
+		draining          bool
 		registered        bool
 		// fields are added to the head of each answer.
 		fields string
@@ -185,28 +188,29 @@
 	}
 	for i, ip := range ips {
 		zone := zones[i%3]
-		d := &daemon{name: fmt.Sprintf("edge-%s-%d", zone, i/3+1), zone: zone, ip: ip, frontend: fmt.Sprintf("%s:%d", ip, front), ready: fmt.Sprintf("%s:%d", ip, ports[1])}
+		d := &daemon{settings: filepath.Join(s.folder, fmt.Sprintf("edge-%s-%d.conf", zone, i/3+1)), name: fmt.Sprintf("edge-%s-%d", zone, i/3+1), zone: zone, ip: ip, frontend: fmt.Sprintf("%s:%d", ip, front), ready: fmt.Sprintf("%s:%d", ip, ports[1])}
 		settings := fmt.Sprintf(settingsText, d.name, ip, zone, d.frontend, d.ready, ip, ports[2], ports[3], ports[4], strings.Join(seeds, ","), storeAddress, api)
-		path := filepath.Join(s.folder, d.name+".conf")
-		check(os.WriteFile(path, []byte(settings), 0o600))
-		d.run(s, path)
+		check(os.WriteFile(d.settings, []byte(settings), 0o600))
+		d.run(s)
 		s.daemons = append(s.daemons, d)
 	}
 }
 
-func (d *daemon) run(s *site, settings string) {
+// run starts the process.
+func (d *daemon) run(s *site) {
 	var err error
-	d.log, err = os.Create(filepath.Join(s.folder, d.name+".log"))
+	d.log, err = os.OpenFile(filepath.Join(s.folder, d.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	check(err)
 	d.command = exec.Command(s.entryd, "platform")
-	d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LENTILSTAGE_NODE_FILE=" + settings}
+	d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LENTILSTAGE_NODE_FILE=" + d.settings}
 	d.command.Stdout, d.command.Stderr = d.log, d.log
 	d.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	check(d.command.Start())
-	d.exited = make(chan struct{})
+	exited, command := make(chan struct{}), d.command
+	d.exited = exited
 	go func() {
-		_ = d.command.Wait()
-		close(d.exited)
+		_ = command.Wait()
+		close(exited)
 	}()
 }
 
@@ -323,6 +327,17 @@
 	}()
 }
 
+// drain makes a replica leave: it says so, goes on serving for a time, and ends.
+func (r *replica) drain(length time.Duration) {
+	r.mutex.Lock()
+	r.draining = true
+	id := r.life.id
+	r.mutex.Unlock()
+	r.site.note("%s drains", id)
+	r.register()
+	time.AfterFunc(length, r.stop)
+}
+
 // begin starts a new lifetime under a new id.
 func (r *replica) begin() {
 	r.mutex.Lock()
@@ -351,7 +366,11 @@
 		return
 	}
 	l.sequence++
-	value := map[string]any{"service": r.service, "address": l.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": "ready",
+	state := "ready"
+	if r.draining {
+		state = "draining"
+	}
+	value := map[string]any{"service": r.service, "address": l.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": state,
 		"cold_remaining_ms": 0, "sequence": l.sequence, "born": l.born}
 	r.mutex.Unlock()
 	r.site.store.beat(l.id, value)
