--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -15,7 +15,7 @@
 	if len(os.Args) != 3 {
 		cannotRun("usage: stand-2 CASE RECORD")
 	}
-	cases := map[string]func(s *site, trouble bool){"page": pageCase, "rollout": rolloutCase, "part": partCase, "query": queryCase, "reopen": reopenCase}
+	cases := map[string]func(s *site, trouble bool){"rollout": rolloutCase, "part": partCase, "page": pageCase, "query": queryCase}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		cannotRun("no such case")
--- a/review/stand-2/rollout.go
+++ b/review/stand-2/rollout.go
@@ -122,7 +122,7 @@
 		case "rolled_back":
 			time.AfterFunc(3*time.Second, func() {
 				for _, r := range updated {
-					r.stop()
+					r.drain(3 * time.Second)
 				}
 			})
 		}
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -37,9 +37,7 @@
 		record   *bufio.Writer
 		file     *os.File
 		ids      atomic.Int64
-		// replay names the phase to which requests count.
-		replay func(string)
-		calls  atomic.Int64
+		calls    atomic.Int64
 	}
 
 	daemon struct {
