--- a/review/stand-2/client.go
+++ b/review/stand-2/client.go
@@ -38,7 +38,11 @@
 // attempt sends one request on a new channel to a daemon and reads the whole answer.
 func (s *site) attempt(d *daemon, q call) result {
 	r := result{id: fmt.Sprintf("%012x", 0xabc000000000+s.ids.Add(1)), daemon: d, sent: time.Now()}
-	defer func() { r.took = time.Since(r.sent) }()
+	defer func() {
+		r.took = time.Since(r.sent)
+		s.note("%s %s %s was sent to %s %d ms ago; its client gets %d, whole %v, %d bytes, %d events %s",
+			r.id, q.method, q.path, d.name, r.took.Milliseconds(), r.status, r.whole, r.bytes, r.events, r.problem)
+	}()
 	c, err := net.DialTimeout("tcp", d.frontend, time.Second)
 	if err != nil {
 		r.problem = "no connection"
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -445,6 +445,7 @@
 			}
 			continue
 		}
+		r.site.note("%s runs at %s", q.Header.Get("Attempt-Id"), l.id)
 		l.busy.Add(1)
 		keep := r.serve(r, l, c, q, body)
 		l.busy.Add(-1)
