--- a/review/stand-2/part.go
+++ b/review/stand-2/part.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -35,8 +36,11 @@
 		}
 		time.Sleep(60 * time.Millisecond)
 		event := "id: 1\ndata: token-1\n\n"
-		_, _ = io.WriteString(c, r.head(l, q, "200 OK")+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+
-			fmt.Sprintf("%x\r\n%s\r\n", len(event), event))
+		first := fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		if os.Getenv("EVENT") == "none" {
+			first = ""
+		}
+		_, _ = io.WriteString(c, r.head(l, q, "200 OK")+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+first)
 		time.Sleep(5 * time.Millisecond)
 		mutex.Lock()
 		crashes = append(crashes, time.Now())
