answer: a reset that only a write was told of ends no answer

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; the part arrived as a complete answer (MIXED). Streams ended as complete, failures too. Cause: the system reports a reset once, to the call that comes first. While the upload is being written, that may be the write; reads then see an ordinary end, which is the end of an answer without a length. A reset after an orderly end is reported as EPIPE instead, so that a write can tell the two apart. Change: wire/answer.Conn combines what reads and writes were told; a read returns the end only if no write was told of a lost connection, and ends a write that is still in progress, since no answer follows.

Peers' RPCs (gob) and datagrams state their lengths, so that a cut one is an error.

--- a/entryd/entry/claims.go
+++ b/entryd/entry/claims.go
@@ -17,6 +17,7 @@
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/domain/event"
 	"lentilstage.dev/domain/ident"
+	"lentilstage.dev/wire/answer"
 	"lentilstage.dev/wire/client"
 	"lentilstage.dev/wire/wire"
 )
@@ -715,7 +716,7 @@
 	}
 	req.SetBody(request.Body)
 	answerDeadline := time.Now().Add(request.Deadline.Sub(c.Now()) + lateAnswerPeriod)
-	if err := client.Exchange(connection, answerDeadline, req, resp, maxAnswerBytes); err != nil {
+	if err := client.Exchange(answer.NewConn(connection), answerDeadline, req, resp, maxAnswerBytes); err != nil {
 		return claim.AnswerLost{Now: c.Now()}
 	}
 	return claim.ServiceAnswered{Now: c.Now(), Status: resp.StatusCode(), Body: slices.Clone(resp.Body())}
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -455,16 +455,16 @@
 	// Writes all pieces with one system call, without a copy of them.
 	message := net.Buffers(body.AppendTo([][]byte{head.Bytes()}))
 	if size := head.Len() + body.Size(); size <= maxInlineBytes {
-		n, err := message.WriteTo(a.endpointConn.Conn)
+		n, err := a.endpointConn.WriteBuffers(message)
 		return n == int64(size), err
 	}
 	a.writeResult = make(chan error, 1)
-	writeResult, conn := a.writeResult, a.endpointConn.Conn
+	writeResult, conn := a.writeResult, a.endpointConn
 	// The attempt may end before its last byte was written.
 	body.Retain()
 	go func() {
 		defer body.Release()
-		_, err := message.WriteTo(conn)
+		_, err := conn.WriteBuffers(message)
 		writeResult <- err
 	}()
 	return true, nil
--- a/entryd/relay/control.go
+++ b/entryd/relay/control.go
@@ -18,6 +18,7 @@
 
 	"lentilstage.dev/decide/hubs"
 	"lentilstage.dev/domain/value"
+	"lentilstage.dev/wire/answer"
 )
 
 type (
@@ -56,8 +57,13 @@
 	snapshotWriteTimeout = 2 * snapshotTimeout
 	// syncInterval is the pause between checks for a daemon with newer records.
 	syncInterval = 500 * time.Millisecond
+	// snapshotIdleTime is how long a connection to another daemon is kept for the next snapshot.
+	snapshotIdleTime = 30 * time.Second
 )
 
+// snapshotClient reads the snapshots of other daemons.
+var snapshotClient = &http.Client{Transport: answer.Wrap(&http.Transport{IdleConnTimeout: snapshotIdleTime})}
+
 // serveControl sends other daemons a snapshot of the records that this one knows.
 func (d *Daemon) serveControl(w http.ResponseWriter, r *http.Request) {
 	// The deadline stays with the connection, so each request sets its own. A server without deadlines, as
@@ -271,7 +277,7 @@
 	if err != nil {
 		return s, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := snapshotClient.Do(request)
 	if err != nil {
 		return s, err
 	}
--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lentilstage.dev/decide/intake"
+	"lentilstage.dev/wire/answer"
 )
 
 type (
@@ -33,7 +34,7 @@
 
 	// endpointConn is a connection to an endpoint.
 	endpointConn struct {
-		net.Conn
+		*answer.Conn
 		reader  *bufio.Reader
 		address string
 		// readable is the number of bytes that may still be read, or unlimited.
@@ -218,7 +219,7 @@
 }
 
 func newEndpointConn(conn net.Conn, address string) *endpointConn {
-	c := &endpointConn{Conn: conn, address: address, readable: unlimited}
+	c := &endpointConn{Conn: answer.NewConn(conn), address: address, readable: unlimited}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c
 }
@@ -252,11 +253,10 @@
 	if c.reader.Buffered() > 0 {
 		return errConnUnusable
 	}
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	raw, err := c.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
 		return nil
 	}
-	raw, err := conn.SyscallConn()
 	if err != nil {
 		return err
 	}
--- a/examples/ask/main.go
+++ b/examples/ask/main.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"lentilstage.dev/domain/ident"
+	"lentilstage.dev/wire/answer"
 	"lentilstage.dev/wire/wire"
 )
 
@@ -96,7 +97,8 @@
 	if c.printed > 0 {
 		request.Header.Set(wire.HeaderLastEventID, c.lastEventID)
 	}
-	response, err := http.DefaultClient.Do(request)
+	client := &http.Client{Transport: answer.Wrap(&http.Transport{})}
+	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
--- a/examples/order/main.go
+++ b/examples/order/main.go
@@ -15,6 +15,7 @@
 	"strings"
 
 	"lentilstage.dev/domain/ident"
+	"lentilstage.dev/wire/answer"
 	"lentilstage.dev/wire/wire"
 )
 
@@ -37,7 +38,8 @@
 	}
 	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set(wire.HeaderIdempotencyKey, idempotencyKey)
-	response, err := http.DefaultClient.Do(request)
+	client := &http.Client{Transport: answer.Wrap(&http.Transport{})}
+	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
--- a/lentilctl/client.go
+++ b/lentilctl/client.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lentilstage.dev/domain/codes"
+	"lentilstage.dev/wire/answer"
 	"lentilstage.dev/wire/wire"
 )
 
@@ -60,7 +61,7 @@
 		if err != nil {
 			return nil, eris.Wrapf(errNotSent, "%s: %s", address, err.Error())
 		}
-		return connection, nil
+		return answer.NewConn(connection), nil
 	}
 	return &client{
 		addresses: addresses, key: key, timeout: a.timeout,
--- a/loadgen/generator.go
+++ b/loadgen/generator.go
@@ -14,6 +14,7 @@
 
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/domain/ident"
+	"lentilstage.dev/wire/answer"
 )
 
 type (
@@ -56,11 +57,11 @@
 func generate(ctx context.Context, o options) *report {
 	g := &generator{
 		options: o,
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: answer.Wrap(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: o.maxInFlight,
 			DisableCompression:  true,
-		}},
+		})},
 		report:         newReport(o),
 		latestRequests: map[string]ident.RequestID{},
 	}
--- a/wire/client/client.go
+++ b/wire/client/client.go
@@ -20,6 +20,7 @@
 	"github.com/valyala/fasthttp"
 
 	"lentilstage.dev/domain/codes"
+	"lentilstage.dev/wire/answer"
 )
 
 type (
@@ -82,7 +83,11 @@
 }
 
 func dial(address string) (net.Conn, error) {
-	return net.DialTimeout("tcp", address, dialTimeout)
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return answer.NewConn(conn), nil
 }
 
 // Call sends a JSON request once and decodes the answer into out, unless out is nil. It returns
