answer: one reader for all answers

Callers saw: a plain service that announces chunks in HTTP/1.0 got its chunks passed on with their sizes, and an answer of another major version was taken. A 200 of the cloud or the log that consists of a head without a length, which a peer that crashes there leaves, counted as done, though the same from an endpoint did not.

--- a/entryd/entry/claims.go
+++ b/entryd/entry/claims.go
@@ -17,7 +17,6 @@
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/domain/event"
 	"lentilstage.dev/domain/ident"
-	"lentilstage.dev/wire/answer"
 	"lentilstage.dev/wire/client"
 	"lentilstage.dev/wire/wire"
 )
@@ -700,9 +699,8 @@
 	if !c.Now().Before(request.Deadline) {
 		return claim.NotSent{Now: c.Now()}
 	}
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + address + request.Path)
 	req.URI().DisablePathNormalizing = true
 	req.Header.SetMethod(request.Method)
@@ -716,10 +714,11 @@
 	}
 	req.SetBody(request.Body)
 	answerDeadline := time.Now().Add(request.Deadline.Sub(c.Now()) + lateAnswerPeriod)
-	if err := client.Exchange(answer.NewConn(connection), answerDeadline, req, resp, maxAnswerBytes); err != nil {
+	status, body, err := client.Exchange(connection, answerDeadline, req, maxAnswerBytes)
+	if err != nil {
 		return claim.AnswerLost{Now: c.Now()}
 	}
-	return claim.ServiceAnswered{Now: c.Now(), Status: resp.StatusCode(), Body: slices.Clone(resp.Body())}
+	return claim.ServiceAnswered{Now: c.Now(), Status: status, Body: body}
 }
 
 func refuseCall(code codes.Code, message string, unknown bool) wire.CallReply {
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -16,6 +16,7 @@
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/domain/value"
+	"lentilstage.dev/wire/answer"
 )
 
 type (
@@ -63,9 +64,8 @@
 	// firstBufferBytes is the first room for a response of unknown length, which grows by bufferGrowth.
 	firstBufferBytes = 32 << 10
 	bufferGrowth     = 4
-	// maxHeadBytes limits the head of a response, maxStaleBytes the body of a response to an earlier
-	// request: an endpoint in trouble may send bytes without end.
-	maxHeadBytes  = 64 << 10
+	// maxStaleBytes limits the body of a response to an earlier request: an endpoint in trouble may send bytes
+	// without end.
 	maxStaleBytes = 1 << 20
 	// maxStaleResponses limits how many responses to earlier requests are skipped on a connection.
 	maxStaleResponses = 3
@@ -412,7 +412,7 @@
 	if response.Close || a.reply.Leaving || response.StatusCode == http.StatusRequestTimeout || a.endpointConn.reader.Buffered() > 0 {
 		return false
 	}
-	if !framed(response) {
+	if !answer.Framed(response) {
 		return false
 	}
 	if a.writeResult == nil {
@@ -428,11 +428,6 @@
 	}
 }
 
-// framed reports whether the response has a length or chunks. Otherwise it ends with its connection.
-func framed(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-}
-
 // write sends the request. complete reports whether its last byte may have been sent.
 func (a *attempt) write() (complete bool, err error) {
 	x := a.x
@@ -474,19 +469,14 @@
 // which may arrive late.
 func (a *attempt) readHead() (*http.Response, Reply, error) {
 	for range maxStaleResponses {
-		a.endpointConn.limitReads(maxHeadBytes)
-		response, err := http.ReadResponse(a.endpointConn.reader, &http.Request{Method: a.x.call.Method})
+		response, err := a.endpointConn.reader.Next(a.x.call.Method)
 		if err != nil {
 			return nil, Reply{}, err
 		}
 		if !response.ProtoAtLeast(1, 1) {
-			// net/http doesn't decode chunks in a response of version 1.0.
+			// Endpoints speak HTTP/1.1.
 			return nil, Reply{}, errVersion
 		}
-		a.endpointConn.limitReads(unlimited)
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if a.reused && joined(response) {
 			return nil, Reply{}, errJoined
 		}
@@ -497,7 +487,7 @@
 			return response, reply, nil
 		}
 		a.x.log("Response to another request skipped.", "Endpoint", a.endpoint.ID, "Other", reply.CallID)
-		if !framed(response) {
+		if !answer.Framed(response) {
 			return nil, Reply{}, errConnUnusable
 		}
 		if skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBytes)); err != nil || skipped == maxStaleBytes {
@@ -546,14 +536,10 @@
 	if err != nil {
 		return a.classifyError(err), err
 	}
-	if len(body) == 0 && !framed(response) && x.call.Method != http.MethodHead {
-		// An endpoint that crashes as it begins its response leaves a head and a closed connection.
-		return a.classifyError(io.ErrUnexpectedEOF), io.ErrUnexpectedEOF
-	}
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if buffered.status >= http.StatusInternalServerError {
 		if !whole {
-			return failed, errTooManyBytes
+			return failed, answer.ErrTooLarge
 		}
 		x.failedResponse = buffered
 		return failed, nil
--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -35,10 +34,8 @@
 	// endpointConn is a connection to an endpoint.
 	endpointConn struct {
 		*answer.Conn
-		reader  *bufio.Reader
+		reader  *answer.Reader
 		address string
-		// readable is the number of bytes that may still be read, or unlimited.
-		readable int
 		// usableUntil is when the endpoint may close the idle connection, idleAt when it became idle.
 		usableUntil time.Time
 		idleAt      time.Time
@@ -55,9 +52,6 @@
 	keepAliveMargin = 300 * time.Millisecond
 	// maxIdlePerEndpoint limits the idle connections to one endpoint.
 	maxIdlePerEndpoint = 16
-	readBufferBytes    = 4096
-	// unlimited removes the limit of reads.
-	unlimited = -1
 )
 
 var (
@@ -69,8 +63,6 @@
 	errJoined = errors.New("response follows a part of another one")
 	// errVersion means that a response has an older version of HTTP than 1.1.
 	errVersion = errors.New("response has an old version of HTTP")
-	// errTooManyBytes means that an endpoint has sent more than a response may have.
-	errTooManyBytes = errors.New("response exceeds its limit")
 )
 
 func newPool(limits intake.Limits) *pool {
@@ -219,9 +211,8 @@
 }
 
 func newEndpointConn(conn net.Conn, address string) *endpointConn {
-	c := &endpointConn{Conn: answer.NewConn(conn), address: address, readable: unlimited}
-	c.reader = bufio.NewReaderSize(c, readBufferBytes)
-	return c
+	c := answer.NewConn(conn)
+	return &endpointConn{Conn: c, reader: answer.NewReader(c), address: address}
 }
 
 // Close closes the connection.
@@ -232,22 +223,6 @@
 	return c.Conn.Close()
 }
 
-// limitReads sets how many more bytes may be read from the network; unlimited removes the limit.
-func (c *endpointConn) limitReads(count int) { c.readable = count }
-
-// Read reads from the connection. It returns errTooManyBytes beyond the limit.
-func (c *endpointConn) Read(buffer []byte) (int, error) {
-	if c.readable == unlimited {
-		return c.Conn.Read(buffer)
-	}
-	if c.readable <= 0 {
-		return 0, errTooManyBytes
-	}
-	n, err := c.Conn.Read(buffer[:min(len(buffer), c.readable)])
-	c.readable -= n
-	return n, err
-}
-
 // checkIdle returns errConnUnusable unless the connection is open and has nothing to read.
 func (c *endpointConn) checkIdle() error {
 	if c.reader.Buffered() > 0 {
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"lentilstage.dev/domain/setup"
+	"lentilstage.dev/wire/answer"
 	"lentilstage.dev/wire/wire"
 )
 
@@ -47,7 +48,7 @@
 	for {
 		event, err := nextEvent(events)
 		if errors.Is(err, io.EOF) {
-			if count == 0 && !framed(response) {
+			if count == 0 && !answer.Framed(response) {
 				// An endpoint that crashes as it begins its response leaves a head and a closed connection.
 				return a.classifyError(io.ErrUnexpectedEOF), io.ErrUnexpectedEOF
 			}
--- a/lentilctl/client.go
+++ b/lentilctl/client.go
@@ -1,13 +1,17 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/wire/answer"
@@ -20,7 +24,7 @@
 		addresses []string
 		key       string
 		timeout   time.Duration
-		http      *fasthttp.Client
+		transport http.RoundTripper
 	}
 
 	// daemonResponse is a daemon's response.
@@ -31,9 +35,13 @@
 	}
 )
 
-// dialTimeout limits one connection attempt, so that an unreachable address leaves time for
-// the next one.
-const dialTimeout = 3 * time.Second
+const (
+	// dialTimeout limits one connection attempt, so that an unreachable address leaves time for
+	// the next one.
+	dialTimeout = 3 * time.Second
+	// maxResponseBytes limits the body of a response.
+	maxResponseBytes = 64 << 20
+)
 
 // errNotSent reports that the connection to a daemon failed, so that the request was not sent.
 var errNotSent = eris.New("no daemon can be reached")
@@ -56,43 +64,57 @@
 	if key == "" {
 		return nil, eris.New("no operator key; use -key-file or LENTILCTL_KEY")
 	}
-	dial := func(address string) (net.Conn, error) {
-		connection, err := fasthttp.DialTimeout(address, min(dialTimeout, a.timeout))
+	dialer := net.Dialer{Timeout: min(dialTimeout, a.timeout)}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, eris.Wrapf(errNotSent, "%s: %s", address, err.Error())
 		}
-		return answer.NewConn(connection), nil
+		return connection, nil
 	}
 	return &client{
 		addresses: addresses, key: key, timeout: a.timeout,
-		http: &fasthttp.Client{
-			Dial: dial,
-			// A request is sent once; the caller decides whether to send it to another daemon.
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		},
+		// On a connection of its own, a request is sent once; the caller decides whether to send it to another daemon.
+		transport: answer.Wrap(&http.Transport{DialContext: dial, DisableKeepAlives: true}),
 	}, nil
 }
 
 // call sends one request to one daemon.
 func (c *client) call(address, method, path string, body []byte) (daemonResponse, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + address + path)
-	request.Header.SetMethod(method)
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(c.timeout))
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return daemonResponse{}, eris.Errorf("%s: %s", address, err.Error())
+	}
 	request.Header.Set("Authorization", "Bearer "+c.key)
 	if body != nil {
-		request.Header.SetContentType("application/json")
-		request.SetBodyRaw(body)
+		request.Header.Set("Content-Type", "application/json")
 	}
-	if err := c.http.DoDeadline(request, response, time.Now().Add(c.timeout)); err != nil {
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
 		if eris.Is(err, errNotSent) {
 			return daemonResponse{}, err
 		}
-		return daemonResponse{}, eris.Errorf("%s: %s", address, err.Error())
+		return daemonResponse{}, callError(address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err == nil && len(content) > maxResponseBytes {
+		err = answer.ErrTooLarge
+	}
+	if err != nil {
+		return daemonResponse{}, callError(address, err)
+	}
+	return daemonResponse{address: address, status: response.StatusCode, body: content}, nil
+}
+
+// callError describes a call that was sent and has no whole answer.
+func callError(address string, err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return eris.Errorf("%s: timeout", address)
 	}
-	return daemonResponse{address: address, status: response.StatusCode(), body: append([]byte(nil), response.Body()...)}, nil
+	return eris.Errorf("%s: %s", address, err.Error())
 }
 
 // refusal returns the refusal in the response body, or nil if the body holds none.
@@ -118,11 +140,11 @@
 // getFrom reads one message from one daemon.
 func getFrom[T any](c *client, address, path string) (T, error) {
 	var zero T
-	got, err := c.call(address, fasthttp.MethodGet, path, nil)
+	got, err := c.call(address, http.MethodGet, path, nil)
 	if err != nil {
 		return zero, err
 	}
-	if got.status != fasthttp.StatusOK {
+	if got.status != http.StatusOK {
 		if refusal := got.refusal(); refusal != nil {
 			return zero, eris.Errorf("%s: %s", address, refusal.Error())
 		}
--- a/lentilctl/publish.go
+++ b/lentilctl/publish.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"net/http"
 	"os"
 	"strings"
 
 	"github.com/google/subcommands"
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/domain/table"
@@ -277,7 +277,7 @@
 	}
 	maybeSent := false
 	for _, address := range cl.addresses {
-		got, err := cl.call(address, fasthttp.MethodPost, "/operator/changes", body)
+		got, err := cl.call(address, http.MethodPost, "/operator/changes", body)
 		if err != nil {
 			maybeSent = maybeSent || !eris.Is(err, errNotSent)
 			c.app.warnf("%s", err.Error())
--- a/wire/answer/answer.go
+++ b/wire/answer/answer.go
@@ -2,12 +2,88 @@
 //
 // All that reads answers uses it: the answers of endpoints, of the platform's log and cloud, and of other daemons.
 //
-// An answer without a length or chunks ends with its connection. It is whole only if the peer has ended the connection
-// in order. If the connection is reset while the request is still being written, the system may report that to the
-// write alone, so that reads see an ordinary end. Conn therefore combines what reads and writes have been told.
+// A well-formed answer has no other protocol than HTTP/1. Those with a status below 200 are interim answers, which are
+// skipped.
+//
+// An answer without a length or chunks ends with its connection. It is whole only if it has a body and the peer has
+// ended the connection in order. If the connection is reset while the request is still being written, the system may
+// report that to the write alone, so that reads see an ordinary end. Conn therefore combines what reads and writes have
+// been told.
 //
 // # Usage
 //
-//	conn := answer.NewConn(dialled)
+//	reader := answer.NewReader(answer.NewConn(dialled))
+//	response, err := reader.Next(http.MethodPost)
+//
 //	client := &http.Client{Transport: answer.Wrap(&http.Transport{})}
 package answer
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+type (
+	// body is the body of an answer.
+	body struct {
+		io.ReadCloser
+		response *http.Response
+		// empty is set until a byte was read.
+		empty bool
+	}
+)
+
+const (
+	// MaxHeadBytes limits the head of an answer, in bytes.
+	MaxHeadBytes = 64 << 10
+)
+
+var (
+	// ErrMalformed reports an answer that does not follow the protocol.
+	ErrMalformed = eris.New("answer is malformed")
+	// ErrTooLarge reports an answer that exceeds a limit.
+	ErrTooLarge = eris.New("answer exceeds its limit")
+	// ErrReset reports an answer whose connection was reset, or otherwise lost, before the answer ended.
+	ErrReset = eris.New("connection was lost before the answer ended")
+)
+
+// Framed reports whether an answer has a length or chunks. Otherwise it ends with its connection.
+func Framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// check returns ErrMalformed if the head of an answer is not well-formed. The head was read by net/http, which rejects
+// heads that it can't parse.
+func check(response *http.Response) error {
+	if response.ProtoMajor != 1 {
+		return eris.Wrapf(ErrMalformed, "protocol %q", response.Proto)
+	}
+	return nil
+}
+
+// withBody returns the answer with a body that returns io.ErrUnexpectedEOF if it is not whole.
+func withBody(response *http.Response) *http.Response {
+	if response.Body != http.NoBody {
+		response.Body = &body{ReadCloser: response.Body, response: response, empty: true}
+	}
+	return response
+}
+
+// Read reads from the body. It returns io.EOF only at the end of a whole answer.
+func (b *body) Read(buffer []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buffer)
+	b.empty = b.empty && n == 0
+	if errors.Is(err, io.EOF) && b.empty && b.endsWithConnection() {
+		// A peer that crashes as it begins its answer leaves a head and a closed connection.
+		return n, io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// endsWithConnection reports whether the answer has a body without a length or chunks.
+func (b *body) endsWithConnection() bool {
+	return !Framed(b.response) && (b.response.Request == nil || b.response.Request.Method != http.MethodHead)
+}
--- a/wire/answer/conn.go
+++ b/wire/answer/conn.go
@@ -7,8 +7,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
 // Conn is a connection on which a request may still be written while its answer is read. Its methods may be called
@@ -19,13 +17,17 @@
 	writing sync.Mutex
 	// failure is the first error of a write that says that the connection did not end in order; nil for none.
 	failure error
+	// readable is the number of bytes that may still be read, or unlimited.
+	readable int
+	// readFailure is the last error of a read.
+	readFailure error
 }
 
-// ErrReset reports an answer whose connection was reset, or otherwise lost, before the answer ended.
-var ErrReset = eris.New("connection was lost before the answer ended")
+// unlimited removes the limit of reads.
+const unlimited = -1
 
 // NewConn returns a connection that reads from c and writes to it. Nothing else may use c meanwhile.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, readable: unlimited} }
 
 // Write writes to the connection. Its errors are those of the connection.
 func (c *Conn) Write(data []byte) (int, error) {
@@ -47,18 +49,34 @@
 }
 
 // Read reads from the connection. It returns io.EOF only if the peer has ended the connection in order, ErrReset if a
-// write was told that it was lost, and otherwise the connection's error. A write that is in progress when the peer
-// ends the connection is ended.
+// write was told that it was lost, ErrTooLarge beyond the limit of a head, and otherwise the connection's error. A write
+// that is in progress when the peer ends the connection is ended.
 func (c *Conn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
+	n, err := c.read(buffer)
 	if errors.Is(err, io.EOF) {
 		if failure := c.writeFailure(); failure != nil {
-			return n, errors.Join(ErrReset, failure)
+			err = errors.Join(ErrReset, failure)
 		}
 	}
+	c.readFailure = err
 	return n, err
 }
 
+func (c *Conn) read(buffer []byte) (int, error) {
+	if c.readable == unlimited {
+		return c.Conn.Read(buffer)
+	}
+	if c.readable <= 0 {
+		return 0, ErrTooLarge
+	}
+	n, err := c.Conn.Read(buffer[:min(len(buffer), c.readable)])
+	c.readable -= n
+	return n, err
+}
+
+// limitReads sets how many more bytes may be read; unlimited removes the limit.
+func (c *Conn) limitReads(count int) { c.readable = count }
+
 // SyscallConn returns the raw connection. It returns errors.ErrUnsupported if there is none.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	if conn, ok := c.Conn.(syscall.Conn); ok {
--- a/wire/answer/transport.go
+++ b/wire/answer/transport.go
@@ -6,8 +6,11 @@
 	"net/http"
 )
 
-// Wrap returns a transport that reads answers by the rules of this package. It changes t, which must not be used
-// otherwise.
+// transport is a transport that rejects answers that are not whole and well-formed.
+type transport struct{ *http.Transport }
+
+// Wrap returns a transport that reads answers by the rules of this package. Its errors, and those of the bodies, are
+// those of net/http and of Reader. It changes t, which must not be used otherwise.
 func Wrap(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
 	if dial == nil {
@@ -20,5 +23,19 @@
 		}
 		return NewConn(c), nil
 	}
-	return t
+	t.MaxResponseHeaderBytes = MaxHeadBytes
+	return transport{t}
+}
+
+// RoundTrip sends a request and returns the answer.
+func (t transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return withBody(response), nil
 }
--- a/wire/client/client.go
+++ b/wire/client/client.go
@@ -10,14 +10,18 @@
 package client
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 
 	"lentilstage.dev/domain/codes"
 	"lentilstage.dev/wire/answer"
@@ -29,6 +33,10 @@
 		Status int
 		Body   []byte
 	}
+
+	// singleBody is the body of a request that is sent once. net/http would send one again whose body it can read again
+	// or, if it only reads, that has none.
+	singleBody struct{ io.Reader }
 )
 
 const (
@@ -39,6 +47,8 @@
 	maxIdleDuration = 5 * time.Second
 	// dialTimeout is the maximum time to open a connection.
 	dialTimeout = 2 * time.Second
+	// maxConnsPerHost is the maximum number of pooled connections to an address.
+	maxConnsPerHost = 512
 )
 
 var (
@@ -46,22 +56,14 @@
 	// may have taken effect.
 	ErrDeadline = eris.New("deadline passed while waiting for the answer")
 
-	// sharedClient is the HTTP client with pooled connections for calls to the platform and engines.
-	sharedClient = newClient()
+	// pooled keeps connections for calls to the platform and engines.
+	pooled = answer.Wrap(&http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout: maxIdleDuration, MaxConnsPerHost: maxConnsPerHost, MaxIdleConnsPerHost: maxConnsPerHost,
+		DisableCompression: true,
+	})
 )
 
-func newClient() *fasthttp.Client {
-	return &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                neverRetry,
-		MaxIdleConnDuration:       maxIdleDuration,
-		MaxResponseBodySize:       maxBodyBytes,
-		MaxConnsPerHost:           512,
-		NoDefaultUserAgentHeader:  true,
-		Dial:                      dial,
-	}
-}
-
 // Error returns the status and the start of the body.
 func (e *StatusError) Error() string {
 	const maxLength = 200
@@ -77,49 +79,45 @@
 	return &refusal, true
 }
 
-// neverRetry prevents fasthttp from retrying a request after the connection was closed.
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
-	return false, false
-}
-
 func dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
-	if err != nil {
-		return nil, err
-	}
-	return answer.NewConn(conn), nil
+	return net.DialTimeout("tcp", address, dialTimeout)
 }
 
+// Close does nothing.
+func (singleBody) Close() error { return nil }
+
 // Call sends a JSON request once and decodes the answer into out, unless out is nil. It returns
 // ErrDeadline, a *StatusError for a status other than 2xx, or the connection's error. After an
 // error other than a *StatusError the request may have taken effect.
 func Call(deadline time.Time, method, address, path string, headers map[string]string, in, out any) error {
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI("http://" + address + path)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	if err != nil {
+		return eris.Wrapf(err, "%s %s", method, path)
+	}
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
+	var content []byte
 	if in != nil {
-		body, err := json.Marshal(in)
-		if err != nil {
+		if content, err = json.Marshal(in); err != nil {
 			return eris.Wrap(err, "encode request")
 		}
-		request.Header.SetContentType("application/json")
-		request.SetBodyRaw(body)
+		request.Header.Set("Content-Type", "application/json")
 	}
-	if err := sharedClient.DoDeadline(request, response, deadline); err != nil {
-		if errors.Is(err, fasthttp.ErrTimeout) {
-			return ErrDeadline
-		}
+	if len(content) > 0 || method == http.MethodGet {
+		request.Body, request.ContentLength = singleBody{bytes.NewReader(content)}, int64(len(content))
+	}
+	status, body, err := roundTrip(request)
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return ErrDeadline
+	}
+	if err != nil {
 		return eris.Wrapf(err, "%s %s", method, path)
 	}
-	body := response.Body()
-	if status := response.StatusCode(); status < 200 || status > 299 {
-		return &StatusError{Status: status, Body: append([]byte(nil), body...)}
+	if status < 200 || status > 299 {
+		return &StatusError{Status: status, Body: body}
 	}
 	if out == nil {
 		return nil
@@ -129,3 +127,23 @@
 	}
 	return nil
 }
+
+// roundTrip sends a request on a pooled connection and reads the whole answer.
+func roundTrip(request *http.Request) (status int, body []byte, err error) {
+	response, err := pooled.RoundTrip(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err = readBody(response.Body, maxBodyBytes)
+	return response.StatusCode, body, err
+}
+
+// readBody reads a body of at most maxBytes. It returns answer.ErrTooLarge for a larger one.
+func readBody(body io.Reader, maxBytes int) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(body, int64(maxBytes)+1))
+	if err == nil && len(content) > maxBytes {
+		err = eris.Wrapf(answer.ErrTooLarge, "more than %d bytes", maxBytes)
+	}
+	return content, err
+}
--- a/wire/client/plain.go
+++ b/wire/client/plain.go
@@ -3,23 +3,14 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
-	"net/http"
 	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
-)
 
-const (
-	// maxInterimAnswers limits the answers with a status below 200 before the answer to a call.
-	maxInterimAnswers = 8
-	// lengthUnknown and lengthOfChunks are what fasthttp returns as the length of an answer that ends with its
-	// connection, and of one in chunks.
-	lengthUnknown  = -2
-	lengthOfChunks = -1
+	"lentilstage.dev/wire/answer"
 )
 
 // CallPlain sends a call to a plain service once and returns the status and body of the answer. The
@@ -32,8 +23,6 @@
 func CallPlain(deadline time.Time, address, method, path string, headers map[string]string, body []byte) (int, []byte, error) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + address + path)
 	request.Header.SetContentType("application/json")
@@ -46,78 +35,53 @@
 		return 0, nil, eris.Wrapf(err, "%s %s", method, path)
 	}
 	defer func() { _ = conn.Close() }()
-	if err := Exchange(conn, deadline, request, response, maxBodyBytes); err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout) {
-			return 0, nil, ErrDeadline
-		}
+	status, content, err := Exchange(conn, deadline, request, maxBodyBytes)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, nil, ErrDeadline
+	}
+	if err != nil {
 		return 0, nil, eris.Wrapf(err, "%s %s", method, path)
 	}
-	answer := append([]byte(nil), response.Body()...)
-	switch status := response.StatusCode(); status {
+	switch status {
 	case fasthttp.StatusBadGateway, fasthttp.StatusServiceUnavailable, fasthttp.StatusGatewayTimeout:
-		return 0, nil, &StatusError{Status: status, Body: answer}
+		return 0, nil, &StatusError{Status: status, Body: content}
 	default:
-		return status, answer, nil
+		return status, content, nil
 	}
 }
 
-// Exchange sends a request on a connection that carries no other and reads the answer. It returns
-// io.ErrUnexpectedEOF for an answer that ends within its head or its body, or after a head without a
-// length: a service that stops there has not answered.
-func Exchange(conn net.Conn, deadline time.Time, request *fasthttp.Request, response *fasthttp.Response, maxBytes int) error {
+// Exchange sends a request on a connection that carries no other and returns the status and body of the
+// answer. It returns the errors of answer.Reader for an answer that is not whole and well-formed, and
+// answer.ErrTooLarge for a body of more than maxBytes.
+func Exchange(conn net.Conn, deadline time.Time, request *fasthttp.Request, maxBytes int) (status int, body []byte, err error) {
 	if err := conn.SetDeadline(deadline); err != nil {
-		return err
+		return 0, nil, err
 	}
 	request.SetConnectionClose()
-	writer := bufio.NewWriter(conn)
-	if err := request.Write(writer); err != nil {
-		return err
-	}
-	if err := writer.Flush(); err != nil {
-		return err
+	c := answer.NewConn(conn)
+	if err := write(c, request); err != nil {
+		return 0, nil, err
 	}
-	reader := bufio.NewReader(conn)
-	for range maxInterimAnswers {
-		if err := response.Header.Read(reader); err != nil {
-			return unexpectedEOF(err)
-		}
-		if response.StatusCode() >= http.StatusOK {
-			return readBody(reader, request, response, maxBytes)
-		}
-	}
-	return eris.Errorf("more than %d interim answers", maxInterimAnswers)
-}
-
-// readBody reads the body after the head of an answer.
-func readBody(reader *bufio.Reader, request *fasthttp.Request, response *fasthttp.Response, maxBytes int) error {
-	status := response.StatusCode()
-	if request.Header.IsHead() || status == http.StatusNoContent || status == http.StatusNotModified {
-		return nil
-	}
-	length := response.Header.ContentLength()
-	if err := response.ReadBody(reader, maxBytes); err != nil {
-		return unexpectedEOF(err)
-	}
-	switch {
-	case length == lengthUnknown && len(response.Body()) == 0:
-		return io.ErrUnexpectedEOF
-	case length == lengthOfChunks:
-		return unexpectedEOF(response.Header.ReadTrailer(reader))
+	response, err := answer.NewReader(c).Next(string(request.Header.Method()))
+	if err != nil {
+		return 0, nil, err
 	}
-	return nil
+	body, err = readBody(response.Body, maxBytes)
+	return response.StatusCode, body, err
 }
 
-// unexpectedEOF returns io.ErrUnexpectedEOF for the end of a connection, and any other error unchanged.
-func unexpectedEOF(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
+// write writes a request to a connection.
+func write(conn net.Conn, request *fasthttp.Request) error {
+	writer := bufio.NewWriter(conn)
+	if err := request.Write(writer); err != nil {
+		return err
 	}
-	return err
+	return writer.Flush()
 }
 
 // NotSent reports whether a call failed because no connection could be opened, so that no byte
 // of the call was sent.
 func NotSent(err error) bool {
 	var opError *net.OpError
-	return errors.Is(err, fasthttp.ErrDialTimeout) || errors.As(err, &opError) && opError.Op == "dial"
+	return errors.As(err, &opError) && opError.Op == "dial"
 }
--- a/wire/client/stream.go
+++ b/wire/client/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"lentilstage.dev/wire/answer"
 	"lentilstage.dev/wire/wire"
 )
 
@@ -35,7 +37,6 @@
 	// a pooled connection that stalled earlier.
 	ChatStream struct {
 		conn        *idleTimeoutConn
-		response    *fasthttp.Response
 		events      *wire.EventReader
 		closeOnce   sync.Once
 		idleTimeout time.Duration
@@ -61,19 +62,12 @@
 	c.mu.Lock()
 	timeout := c.timeout
 	c.mu.Unlock()
-	if err := c.Conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Read(buffer)
 }
 
-// SetReadDeadline does nothing, since Read sets the deadline. The one that fasthttp sets would
-// apply to the whole stream.
-func (c *idleTimeoutConn) SetReadDeadline(time.Time) error { return nil }
-
-// SetDeadline sets only the write deadline, for the same reason.
-func (c *idleTimeoutConn) SetDeadline(at time.Time) error { return c.SetWriteDeadline(at) }
-
 func (c *idleTimeoutConn) setTimeout(timeout time.Duration) {
 	c.mu.Lock()
 	c.timeout = timeout
@@ -88,22 +82,6 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode chat request")
 	}
-	stream := &ChatStream{response: fasthttp.AcquireResponse(), idleTimeout: r.IdleTimeout}
-	host := &fasthttp.HostClient{
-		Addr:                      r.Address,
-		StreamResponseBody:        true,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                neverRetry,
-		NoDefaultUserAgentHeader:  true,
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := dial(address)
-			if err != nil {
-				return nil, err
-			}
-			stream.conn = &idleTimeoutConn{Conn: conn, timeout: r.FirstEventTimeout}
-			return stream.conn, nil
-		},
-	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	request.Header.SetMethod(fasthttp.MethodPost)
@@ -117,26 +95,37 @@
 	}
 	request.SetConnectionClose()
 	request.SetBodyRaw(body)
-	if err := host.Do(request, stream.response); err != nil {
-		if stream.conn == nil {
-			return nil, eris.Wrap(ErrNotConnected, err.Error())
-		}
+	conn, err := dial(r.Address)
+	if err != nil {
+		return nil, eris.Wrap(ErrNotConnected, err.Error())
+	}
+	stream := &ChatStream{conn: &idleTimeoutConn{Conn: conn, timeout: r.FirstEventTimeout}, idleTimeout: r.IdleTimeout}
+	response, err := stream.send(request, r.FirstEventTimeout)
+	if err != nil {
 		stream.Close()
 		return nil, asIdleTimeout(err)
 	}
-	if status := stream.response.StatusCode(); status != fasthttp.StatusOK {
-		var text []byte
-		// A status such as 204 has no body.
-		if body := stream.response.BodyStream(); body != nil {
-			text, _ = io.ReadAll(io.LimitReader(body, 4096))
-		}
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 4096))
 		stream.Close()
-		return nil, &StatusError{Status: status, Body: text}
+		return nil, &StatusError{Status: response.StatusCode, Body: text}
 	}
-	stream.events = wire.NewEventReader(stream.response.BodyStream())
+	stream.events = wire.NewEventReader(response.Body)
 	return stream, nil
 }
 
+// send sends the request and reads the head of the answer.
+func (s *ChatStream) send(request *fasthttp.Request, timeout time.Duration) (*http.Response, error) {
+	if err := s.conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, err
+	}
+	c := answer.NewConn(s.conn)
+	if err := write(c, request); err != nil {
+		return nil, err
+	}
+	return answer.NewReader(c).Next(http.MethodPost)
+}
+
 // Next returns the next event that has data. It returns io.EOF at the end of the stream,
 // ErrIdleTimeout, or an error of the connection or of wire.EventReader.
 func (s *ChatStream) Next() (wire.StreamEvent, error) {
@@ -151,18 +140,13 @@
 // Close closes the stream's connection. It is safe to call at any time, repeatedly and from any
 // goroutine.
 func (s *ChatStream) Close() {
-	s.closeOnce.Do(func() {
-		if s.conn != nil {
-			_ = s.conn.Close()
-		}
-	})
+	s.closeOnce.Do(func() { _ = s.conn.Close() })
 }
 
 // asIdleTimeout returns ErrIdleTimeout for a timeout, and any other error unchanged.
 func asIdleTimeout(err error) error {
 	var timeout net.Error
-	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout) ||
-		(errors.As(err, &timeout) && timeout.Timeout()) {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout() {
 		return ErrIdleTimeout
 	}
 	return err
