answer: a status outside 100 to 599 is no answer

Callers saw: status 000 and then a sound 200 on the same connection: the 200. Status 000 alone held the caller until its deadline (504); 600 and 999 were passed on. In the client library 000 was a 200. The log and the cloud took 000, 101 and 600 as a refusal of a call that may have been done. Cause: every status below 200 counted as an interim answer, also one below 100 and 101, which switches the protocol; net/http reads any three digits with an optional sign, fasthttp reports a status of 0 as 200. Change: answer.check rejects statuses that HTTP does not have, and 101, since no request asks for it.

--- a/wire/answer/answer.go
+++ b/wire/answer/answer.go
@@ -2,8 +2,8 @@
 //
 // All that reads answers uses it: the answers of endpoints, of the platform's log and cloud, and of other daemons.
 //
-// A well-formed answer has no other protocol than HTTP/1. Those with a status below 200 are interim answers, which are
-// skipped.
+// A well-formed answer has a status of three digits from 100 to 599 and no other protocol than HTTP/1. Those below 200
+// are interim answers, which are skipped; 101 is none, since no request asks for another protocol.
 //
 // An answer without a length or chunks ends with its connection. It is whole only if it has a body and the peer has
 // ended the connection in order. If the connection is reset while the request is still being written, the system may
@@ -39,6 +39,9 @@
 const (
 	// MaxHeadBytes limits the head of an answer, in bytes.
 	MaxHeadBytes = 64 << 10
+
+	minStatus = 100
+	maxStatus = 599
 )
 
 var (
@@ -58,8 +61,13 @@
 // check returns ErrMalformed if the head of an answer is not well-formed. The head was read by net/http, which rejects
 // heads that it can't parse.
 func check(response *http.Response) error {
-	if response.ProtoMajor != 1 {
+	switch status := response.StatusCode; {
+	case response.ProtoMajor != 1:
 		return eris.Wrapf(ErrMalformed, "protocol %q", response.Proto)
+	case status < minStatus || status > maxStatus:
+		return eris.Wrapf(ErrMalformed, "status %q", response.Status)
+	case status == http.StatusSwitchingProtocols:
+		return eris.Wrap(ErrMalformed, "switches the protocol unasked")
 	}
 	return nil
 }
