answer: a blank in the name of a field makes an answer malformed

Callers saw: an answer with the line "X Note: 1", passed on with that line; with "Content-Length : 5" or "Transfer-Encoding : chunked" a body that was not the endpoint's: what followed the length, or the chunks with their sizes. A blank before a name made it a part of the value before it. Cause: net/http accepts a blank in a name, does not canonicalize it and so does not see the length or the chunks; the answer then ends with its connection. fasthttp removes the blank. net/http joins a line that begins with a blank to the line before it, and checks no byte of the reason. Change: answer.check rejects such names, also in trailers, and control bytes in the reason; Reader rejects lines that begin with a blank, since heads are passed on there. Right already: a control byte, a tab or nothing as a name, control bytes in values, a blank before the first name.

--- a/wire/answer/answer.go
+++ b/wire/answer/answer.go
@@ -3,7 +3,9 @@
 // All that reads answers uses it: the answers of endpoints, of the platform's log and cloud, and of other daemons.
 //
 // A well-formed answer has a status of three digits from 100 to 599 and no other protocol than HTTP/1. Those below 200
-// are interim answers, which are skipped; 101 is none, since no request asks for another protocol.
+// are interim answers, which are skipped; 101 is none, since no request asks for another protocol. The names of its
+// fields, also in a trailer, are tokens of RFC 9110, without a blank before the colon; its values and the reason have no
+// control bytes but tabs. A line that continues a field makes an answer malformed where heads are passed on.
 //
 // An answer without a length or chunks ends with its connection. It is whole only if it has a body and the peer has
 // ended the connection in order. If the connection is reset while the request is still being written, the system may
@@ -22,6 +24,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/rotisserie/eris"
 )
@@ -68,10 +71,26 @@
 		return eris.Wrapf(ErrMalformed, "status %q", response.Status)
 	case status == http.StatusSwitchingProtocols:
 		return eris.Wrap(ErrMalformed, "switches the protocol unasked")
+	case strings.ContainsFunc(response.Status, isControl):
+		return eris.Wrapf(ErrMalformed, "reason %q", response.Status)
+	}
+	return checkNames(response.Header)
+}
+
+// checkNames returns ErrMalformed if the name of a field has a blank. net/http accepts that, but takes such a field for
+// another one, so that a length or chunks are not seen. It rejects all else that is malformed in names and values.
+func checkNames(header http.Header) error {
+	for name := range header {
+		if strings.Contains(name, " ") {
+			return eris.Wrapf(ErrMalformed, "field name %q", name)
+		}
 	}
 	return nil
 }
 
+// isControl reports whether a character is a control byte that text of a head may not have.
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
 // withBody returns the answer with a body that returns io.ErrUnexpectedEOF if it is not whole.
 func withBody(response *http.Response) *http.Response {
 	if response.Body != http.NoBody {
@@ -84,10 +103,16 @@
 func (b *body) Read(buffer []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buffer)
 	b.empty = b.empty && n == 0
-	if errors.Is(err, io.EOF) && b.empty && b.endsWithConnection() {
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if b.empty && b.endsWithConnection() {
 		// A peer that crashes as it begins its answer leaves a head and a closed connection.
 		return n, io.ErrUnexpectedEOF
 	}
+	if malformed := checkNames(b.response.Trailer); malformed != nil {
+		return n, malformed
+	}
 	return n, err
 }
 
--- a/wire/answer/conn.go
+++ b/wire/answer/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Conn is a connection on which a request may still be written while its answer is read. Its methods may be called
@@ -17,17 +19,14 @@
 	writing sync.Mutex
 	// failure is the first error of a write that says that the connection did not end in order; nil for none.
 	failure error
-	// readable is the number of bytes that may still be read, or unlimited.
-	readable int
+	// head follows the head that is being read; nil between heads.
+	head *head
 	// readFailure is the last error of a read.
 	readFailure error
 }
 
-// unlimited removes the limit of reads.
-const unlimited = -1
-
 // NewConn returns a connection that reads from c and writes to it. Nothing else may use c meanwhile.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, readable: unlimited} }
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
 
 // Write writes to the connection. Its errors are those of the connection.
 func (c *Conn) Write(data []byte) (int, error) {
@@ -63,20 +62,18 @@
 }
 
 func (c *Conn) read(buffer []byte) (int, error) {
-	if c.readable == unlimited {
+	if c.head == nil || c.head.complete {
 		return c.Conn.Read(buffer)
 	}
-	if c.readable <= 0 {
-		return 0, ErrTooLarge
+	left := MaxHeadBytes - c.head.bytes
+	if left <= 0 {
+		return 0, eris.Wrapf(ErrTooLarge, "head of more than %d bytes", MaxHeadBytes)
 	}
-	n, err := c.Conn.Read(buffer[:min(len(buffer), c.readable)])
-	c.readable -= n
+	n, err := c.Conn.Read(buffer[:min(len(buffer), left)])
+	c.head.scan(buffer[:n])
 	return n, err
 }
 
-// limitReads sets how many more bytes may be read; unlimited removes the limit.
-func (c *Conn) limitReads(count int) { c.readable = count }
-
 // SyscallConn returns the raw connection. It returns errors.ErrUnsupported if there is none.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	if conn, ok := c.Conn.(syscall.Conn); ok {
--- a/wire/answer/reader.go
+++ b/wire/answer/reader.go
@@ -52,8 +52,11 @@
 
 // readHead reads the head of the next answer, which may be an interim one.
 func (r *Reader) readHead(method string) (*http.Response, error) {
-	r.conn.limitReads(MaxHeadBytes)
-	defer r.conn.limitReads(unlimited)
+	scanned := &head{}
+	waiting, _ := r.buffer.Peek(r.buffer.Buffered())
+	scanned.scan(waiting)
+	r.conn.head = scanned
+	defer func() { r.conn.head = nil }()
 	source := r.buffer
 	version, err := source.Peek(len(oldVersion))
 	old := string(version) == oldVersion
@@ -70,6 +73,10 @@
 		}
 		return nil, unexpectedEOF(err)
 	}
+	if scanned.folded {
+		// Whether the line has a name of its own is not certain.
+		return nil, eris.Wrap(ErrMalformed, "a line begins with a blank")
+	}
 	if err := check(response); err != nil {
 		return nil, err
 	}
