relay, entry: log and count answers that are rejected

Callers saw a 502 or an answer that broke off; the logs had the error text of a library, and no metric told answers that are not whole from lost connections. Cause: all errors of a connection were one line, "Connection failed.". Change: answer.ReasonOf names why an answer was rejected (Malformed, TooLarge, NoRoom, Reset, Truncated). Both daemons log "Answer rejected." with it and count it in Answers.Rejected, for requests, and the platform's daemon also for the log and the cloud. A connection that is lost before the first byte is counted as before. errVersion, errJoined and errContradiction are malformed answers.

--- a/entryd/entry/base.go
+++ b/entryd/entry/base.go
@@ -37,6 +37,7 @@
 	"lentilstage.dev/domain/event"
 	"lentilstage.dev/domain/ident"
 	"lentilstage.dev/entryd/clock"
+	"lentilstage.dev/wire/answer"
 	"lentilstage.dev/wire/client"
 	"lentilstage.dev/wire/wire"
 )
@@ -105,6 +106,16 @@
 	return b
 }
 
+// recordRejected counts and logs an endpoint's answer that is not whole and well-formed. It ignores other errors.
+func (b *Base) recordRejected(endpoint string, err error) {
+	reason := answer.ReasonOf(err)
+	if reason == answer.Accepted {
+		return
+	}
+	b.Counters.countRejected(reason)
+	b.Logger.WithName("answers").Info("Answer rejected.", "endpoint", endpoint, "reason", reason, "error", err.Error())
+}
+
 // emit records an event of this process on the timeline.
 func (b *Base) emit(e event.Event) {
 	e.Time = b.Now()
--- a/entryd/entry/calls.go
+++ b/entryd/entry/calls.go
@@ -49,6 +49,7 @@
 		Emit: func(e event.Event) {
 			d.base.emit(e)
 		},
+		RecordRejected: d.base.recordRejected,
 	})
 }
 
--- a/entryd/entry/claims.go
+++ b/entryd/entry/claims.go
@@ -46,6 +46,8 @@
 		ForwardCall func(ctx context.Context, incarnation string, request wire.CallRequest) (wire.CallReply, error)
 		Now         func() time.Time
 		Emit        func(event.Event)
+		// RecordRejected records an answer that is rejected, by the error of the call. It ignores other errors.
+		RecordRejected func(address string, err error)
 	}
 
 	// Claims runs the unrepeatable calls of plain services, each at most once across all daemons.
@@ -716,6 +718,7 @@
 	answerDeadline := time.Now().Add(request.Deadline.Sub(c.Now()) + lateAnswerPeriod)
 	status, body, err := client.Exchange(connection, answerDeadline, req, maxAnswerBytes)
 	if err != nil {
+		c.RecordRejected(address, err)
 		return claim.AnswerLost{Now: c.Now()}
 	}
 	return claim.ServiceAnswered{Now: c.Now(), Status: status, Body: body}
--- a/entryd/entry/claims_test.go
+++ b/entryd/entry/claims_test.go
@@ -64,7 +64,7 @@
 		d.claims = append(d.claims, NewClaims(
 			ClaimSettings{Process: fmt.Sprint(i), Incarnation: incarnation, Window: time.Hour, MaxCalls: 1000},
 			ClaimDependencies{
-				ReadLog: d.log.read, AppendLog: d.log.append, Now: time.Now, Emit: func(event.Event) {},
+				ReadLog: d.log.read, AppendLog: d.log.append, Now: time.Now, Emit: func(event.Event) {}, RecordRejected: func(string, error) {},
 				Endpoint: func(wire.CallRequest) (string, string, bool, bool) { return address, "v1", true, address != "" },
 				ForwardCall: func(ctx context.Context, incarnation string, request wire.CallRequest) (wire.CallReply, error) {
 					return d.claims[names[incarnation]].Do(ctx, request), nil
--- a/entryd/entry/endpoints.go
+++ b/entryd/entry/endpoints.go
@@ -252,6 +252,7 @@
 	engine := client.Engine{Address: i.Address}
 	load, err := engine.Load(e.base.Now().Add(loadTimeout))
 	if err != nil {
+		e.base.recordRejected(i.ID, err)
 		e.logger.V(1).Info("Load read failed.", "instance", i.ID, "error", err.Error())
 		return
 	}
--- a/entryd/entry/loader.go
+++ b/entryd/entry/loader.go
@@ -138,6 +138,7 @@
 	ordered, err := client.Engine{Address: address}.Order(l.base.Now().Add(orderTimeout), order)
 	switch {
 	case err != nil:
+		l.base.recordRejected(instance, err)
 		reason = err.Error()
 	case !ordered.Accepted:
 		reason = ordered.Reason
--- a/entryd/entry/metrics.go
+++ b/entryd/entry/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"lentilstage.dev/domain/codes"
+	"lentilstage.dev/wire/answer"
 )
 
 // counters are the daemon's metrics. Counters only increase, gauges hold the current value and
@@ -44,6 +45,11 @@
 	metrics.GetOrRegisterCounter("Refused."+code.Info().Name, c.registry).Inc(1)
 }
 
+// countRejected counts an endpoint's answer that is not whole and well-formed, by why it is not.
+func (c *counters) countRejected(reason answer.Reason) {
+	metrics.GetOrRegisterCounter("Answers.Rejected."+string(reason), c.registry).Inc(1)
+}
+
 // setGauge sets a gauge to its current value.
 func (c *counters) setGauge(name string, number int) {
 	metrics.GetOrRegisterGauge(name, c.registry).Update(int64(number))
--- a/entryd/entry/plain.go
+++ b/entryd/entry/plain.go
@@ -180,6 +180,7 @@
 	}
 	if err != nil {
 		outcome.Kind = health.Unreachable
+		d.base.recordRejected(chosen.Instance.ID, err)
 	}
 	d.endpoints.updateHealth(outcome)
 	if err != nil {
--- a/entryd/entry/reclaim.go
+++ b/entryd/entry/reclaim.go
@@ -126,6 +126,7 @@
 	deadline := r.base.Now().Add(kvTransferTimeout)
 	cache, err := client.Engine{Address: a.target.Instance.Address}.Export(deadline, string(id))
 	if err != nil {
+		r.base.recordRejected(a.target.Instance.ID, err)
 		r.logger.V(1).Info("KV export failed.", "instance", a.target.Instance.ID, "error", err.Error())
 		return
 	}
@@ -139,6 +140,7 @@
 	}
 	handle, err := client.Engine{Address: chosen.Instance.Address}.Import(deadline, cache)
 	if err != nil {
+		r.base.recordRejected(chosen.Instance.ID, err)
 		r.logger.V(1).Info("KV import failed.", "instance", chosen.Instance.ID, "error", err.Error())
 		return
 	}
--- a/entryd/entry/requests.go
+++ b/entryd/entry/requests.go
@@ -62,7 +62,7 @@
 	cancelTimeout = time.Second
 )
 
-var errShortStream = eris.New("the stream ended without a finish reason")
+var errShortStream = eris.Wrap(io.ErrUnexpectedEOF, "the stream ended without a finish reason")
 
 func newRequests(i do.Injector) (*requests, error) {
 	b := do.MustInvoke[*Base](i)
@@ -310,6 +310,7 @@
 	if err == nil {
 		return
 	}
+	r.base.recordRejected(chosen.Instance.ID, err)
 	r.base.emit(event.Event{
 		Kind: "AttemptFailed", Request: owned.id, Route: owned.route,
 		Version: chosen.Version, Endpoint: chosen.Instance.ID, Reason: err.Error(),
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -538,7 +538,9 @@
 	if a.x.overtaken() {
 		return superseded
 	}
-	a.x.log("Connection failed.", "Endpoint", a.endpoint.ID, "Error", err.Error())
+	if !a.recordRejected(err) {
+		a.x.log("Connection failed.", "Endpoint", a.endpoint.ID, "Error", err.Error())
+	}
 	return broken
 }
 
@@ -581,6 +583,7 @@
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	if buffered.status >= http.StatusInternalServerError {
 		if !whole {
+			a.recordRejected(answer.ErrTooLarge)
 			return failed, answer.ErrTooLarge
 		}
 		x.failedResponse = buffered
@@ -650,6 +653,7 @@
 	a.x.responseStarted = true
 	_, err := io.Copy(a.x.writer, io.MultiReader(bytes.NewReader(head.body), rest))
 	if err != nil {
+		a.recordRejected(err)
 		return broken, err
 	}
 	return delivered, nil
--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"lentilstage.dev/decide/intake"
 	"lentilstage.dev/wire/answer"
 )
@@ -58,11 +60,11 @@
 	// errConnUnusable means that an idle connection was closed or has bytes that belong to no request.
 	errConnUnusable = errors.New("idle connection is not usable")
 	// errContradiction means that a response says that the request has run and that it has not.
-	errContradiction = errors.New("response contradicts itself")
+	errContradiction = eris.Wrap(answer.ErrMalformed, "response contradicts itself")
 	// errJoined means that a response follows a part of an earlier one.
-	errJoined = errors.New("response follows a part of another one")
+	errJoined = eris.Wrap(answer.ErrMalformed, "response follows a part of another one")
 	// errVersion means that a response has an older version of HTTP than 1.1.
-	errVersion = errors.New("response has an old version of HTTP")
+	errVersion = eris.Wrap(answer.ErrMalformed, "response has an old version of HTTP")
 )
 
 func newPool(limits intake.Limits) *pool {
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -140,13 +140,14 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: settings, store: store, cloud: cloud, codec: codec,
+		settings: settings, codec: codec,
 		logger: logr.Discard(), meters: newMeters(), clock: newClock(), random: rand.Float64,
 		incarnation: string(ident.NewIncarnation()),
 	}
 	for _, option := range options {
 		option(d)
 	}
+	d.store, d.cloud = d.observedStore(store), d.observedCloud(cloud)
 	d.startedAt = d.clock.now()
 	d.ended, d.end = context.WithCancel(context.Background())
 	d.tables = newTables(settings, d.incarnation)
--- a/wire/answer/answer.go
+++ b/wire/answer/answer.go
@@ -37,6 +37,8 @@
 	body struct {
 		io.ReadCloser
 		response *http.Response
+		// conn is the connection of the answer; nil if it is not known.
+		conn *Conn
 		// empty is set until a byte was read.
 		empty bool
 	}
@@ -97,10 +99,11 @@
 // isControl reports whether a character is a control byte that text of a head may not have.
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
-// withBody returns the answer with a body that returns io.ErrUnexpectedEOF if it is not whole.
-func withBody(response *http.Response) *http.Response {
+// withBody returns the answer with a body that returns io.ErrUnexpectedEOF if it is not whole, and ErrMalformed if
+// it does not follow the protocol and its connection, which may be nil, is known.
+func withBody(response *http.Response, conn *Conn) *http.Response {
 	if response.Body != http.NoBody {
-		response.Body = &body{ReadCloser: response.Body, response: response, empty: true}
+		response.Body = &body{ReadCloser: response.Body, response: response, conn: conn, empty: true}
 	}
 	return response
 }
@@ -109,7 +112,13 @@
 func (b *body) Read(buffer []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buffer)
 	b.empty = b.empty && n == 0
-	if !errors.Is(err, io.EOF) {
+	switch {
+	case err == nil || errors.Is(err, io.ErrUnexpectedEOF):
+		return n, err
+	case !errors.Is(err, io.EOF):
+		if b.conn != nil && b.conn.readFailure == nil {
+			err = eris.Wrap(ErrMalformed, err.Error())
+		}
 		return n, err
 	}
 	if b.empty && b.endsWithConnection() {
--- a/wire/answer/conn.go
+++ b/wire/answer/conn.go
@@ -47,15 +47,18 @@
 	return n, err
 }
 
-// Read reads from the connection. It returns io.EOF only if the peer has ended the connection in order, ErrReset if a
-// write was told that it was lost, ErrTooLarge or ErrNoRoom for a head beyond its limits, and otherwise the connection's
+// Read reads from the connection. It returns io.EOF only if the peer has ended the connection in order, ErrReset if
+// the read or a write was told that it was lost, ErrTooLarge or ErrNoRoom for a head beyond its limits, and otherwise the connection's
 // error. A write that is in progress when the peer ends the connection is ended.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	n, err := c.read(buffer)
+	var errno syscall.Errno
 	if errors.Is(err, io.EOF) {
 		if failure := c.writeFailure(); failure != nil {
 			err = errors.Join(ErrReset, failure)
 		}
+	} else if errors.As(err, &errno) {
+		err = errors.Join(ErrReset, err)
 	}
 	c.readFailure = err
 	return n, err
--- a/wire/answer/reader.go
+++ b/wire/answer/reader.go
@@ -47,7 +47,7 @@
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
-			return withBody(response), nil
+			return withBody(response, r.conn), nil
 		}
 	}
 	return nil, eris.Wrapf(ErrMalformed, "more than %d interim answers", maxInterim)
@@ -67,7 +67,10 @@
 		source, err = r.readOldHead()
 	}
 	if err != nil {
-		return nil, unexpectedEOF(err)
+		if err = unexpectedEOF(err); scanned.bytes == 0 {
+			err = errors.Join(errNothing, err)
+		}
+		return nil, err
 	}
 	response, err := http.ReadResponse(source, &http.Request{Method: method})
 	if err != nil {
--- a/wire/answer/transport.go
+++ b/wire/answer/transport.go
@@ -37,5 +37,5 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
-	return withBody(response), nil
+	return withBody(response, nil), nil
 }
