--- a/wire/answer/answer.go
+++ b/wire/answer/answer.go
@@ -53,6 +53,8 @@
 
 	minStatus = 100
 	maxStatus = 599
+	// maxQuotedBytes limits what an error quotes of an answer.
+	maxQuotedBytes = 200
 )
 
 var (
@@ -74,13 +76,13 @@
 func check(response *http.Response) error {
 	switch status := response.StatusCode; {
 	case response.ProtoMajor != 1:
-		return eris.Wrapf(ErrMalformed, "protocol %q", response.Proto)
+		return malformed("protocol %q", response.Proto)
 	case status < minStatus || status > maxStatus:
-		return eris.Wrapf(ErrMalformed, "status %q", response.Status)
+		return malformed("status %q", response.Status)
 	case status == http.StatusSwitchingProtocols:
-		return eris.Wrap(ErrMalformed, "switches the protocol unasked")
+		return malformed("status %q, unasked", response.Status)
 	case strings.ContainsFunc(response.Status, isControl):
-		return eris.Wrapf(ErrMalformed, "reason %q", response.Status)
+		return malformed("reason %q", response.Status)
 	}
 	return checkNames(response.Header)
 }
@@ -90,12 +92,17 @@
 func checkNames(header http.Header) error {
 	for name := range header {
 		if strings.Contains(name, " ") {
-			return eris.Wrapf(ErrMalformed, "field name %q", name)
+			return malformed("field name %q", name)
 		}
 	}
 	return nil
 }
 
+// malformed returns ErrMalformed with a part of the answer's text, or of what net/http says of it.
+func malformed(format, text string) error {
+	return eris.Wrapf(ErrMalformed, format, text[:min(len(text), maxQuotedBytes)])
+}
+
 // isControl reports whether a character is a control byte that text of a head may not have.
 func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
 
@@ -117,7 +124,7 @@
 		return n, err
 	case !errors.Is(err, io.EOF):
 		if b.conn != nil && b.conn.readFailure == nil {
-			err = eris.Wrap(ErrMalformed, err.Error())
+			err = malformed("%s", err.Error())
 		}
 		return n, err
 	}
@@ -125,8 +132,8 @@
 		// A peer that crashes as it begins its answer leaves a head and a closed connection.
 		return n, io.ErrUnexpectedEOF
 	}
-	if malformed := checkNames(b.response.Trailer); malformed != nil {
-		return n, malformed
+	if nameErr := checkNames(b.response.Trailer); nameErr != nil {
+		return n, nameErr
 	}
 	return n, err
 }
--- a/wire/answer/conn.go
+++ b/wire/answer/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -48,17 +49,17 @@
 }
 
 // Read reads from the connection. It returns io.EOF only if the peer has ended the connection in order, ErrReset if
-// the read or a write was told that it was lost, ErrTooLarge or ErrNoRoom for a head beyond its limits, and otherwise the connection's
-// error. A write that is in progress when the peer ends the connection is ended.
+// the read or a write was told that it was lost, ErrTooLarge or ErrNoRoom for a head beyond its limits, and otherwise
+// the connection's error. A write that is in progress when the peer ends the connection is ended.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	n, err := c.read(buffer)
 	var errno syscall.Errno
 	if errors.Is(err, io.EOF) {
 		if failure := c.writeFailure(); failure != nil {
-			err = errors.Join(ErrReset, failure)
+			err = fmt.Errorf("%w: %w", ErrReset, failure)
 		}
 	} else if errors.As(err, &errno) {
-		err = errors.Join(ErrReset, err)
+		err = fmt.Errorf("%w: %w", ErrReset, err)
 	}
 	c.readFailure = err
 	return n, err
--- a/wire/answer/reader.go
+++ b/wire/answer/reader.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/textproto"
@@ -38,8 +39,8 @@
 func (r *Reader) Buffered() int { return r.buffer.Buffered() }
 
 // Next reads the head of the next answer, to a request with a method, and skips interim answers. It returns
-// ErrMalformed, ErrTooLarge, ErrNoRoom, ErrReset, io.ErrUnexpectedEOF if the connection ends within the head, or the connection's
-// error. Reads from the body return the same errors.
+// ErrMalformed, ErrTooLarge, ErrNoRoom, ErrReset, io.ErrUnexpectedEOF if the connection ends within the head, or the
+// connection's error. Reads from the body return the same errors.
 func (r *Reader) Next(method string) (*http.Response, error) {
 	for range maxInterim {
 		response, err := r.readHead(method)
@@ -68,7 +69,7 @@
 	}
 	if err != nil {
 		if err = unexpectedEOF(err); scanned.bytes == 0 {
-			err = errors.Join(errNothing, err)
+			err = fmt.Errorf("%w: %w", errNothing, err)
 		}
 		return nil, err
 	}
@@ -78,7 +79,7 @@
 			// net/http may report what it makes of an incomplete line instead.
 			return nil, unexpectedEOF(failure)
 		}
-		return nil, eris.Wrap(ErrMalformed, err.Error())
+		return nil, malformed("%s", err.Error())
 	}
 	if scanned.folded {
 		// Whether the line has a name of its own is not certain.
@@ -113,7 +114,7 @@
 	_, fields, _ := strings.Cut(head.String(), "\n")
 	header, err := textproto.NewReader(bufio.NewReader(strings.NewReader(fields))).ReadMIMEHeader()
 	if err != nil {
-		return nil, eris.Wrap(ErrMalformed, err.Error())
+		return nil, malformed("%s", err.Error())
 	}
 	if header.Get("Transfer-Encoding") != "" {
 		return nil, eris.Wrap(ErrMalformed, "chunks in an answer of version 1.0")
--- a/wire/answer/reason_test.go
+++ b/wire/answer/reason_test.go
@@ -37,6 +37,19 @@
 	}
 }
 
+// TestErrorsAreShort guards against errors, and so log lines, that have a long answer in them.
+func TestErrorsAreShort(t *testing.T) {
+	long := strings.Repeat("x", 50_000)
+	for _, text := range []string{
+		long + "\r\n\r\n", "HTTP/1.1 000 " + long + "\r\n\r\n", "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX " + long + ": 1\r\n\r\n", "HTTP/1.1 200 \x01" + long + "\r\n\r\n",
+	} {
+		if _, err := newBytesReader(strings.NewReader(text)).Next(http.MethodGet); !errors.Is(err, ErrMalformed) || len(err.Error()) > 2*maxQuotedBytes {
+			t.Errorf("%.60q: error of %d bytes: %.300v", text, len(err.Error()), err)
+		}
+	}
+}
+
 // failingReader returns an error of its own.
 type failingReader struct{}
 
--- a/wire/wire/sse.go
+++ b/wire/wire/sse.go
@@ -43,9 +43,9 @@
 
 var (
 	// ErrEventLine reports a line that exceeds the maximum length.
-	ErrEventLine = eris.New("server-sent event line is too long")
+	ErrEventLine = eris.Wrap(answer.ErrTooLarge, "server-sent event line")
 	// ErrEventLength reports an event that exceeds the maximum length.
-	ErrEventLength = eris.New("server-sent event is too long")
+	ErrEventLength = eris.Wrap(answer.ErrTooLarge, "server-sent event")
 )
 
 // NewEventReader returns a reader of the stream's events.
