--- /dev/null
+++ b/review/stand-3/record.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// record is the file with what was sent, answered and run, with times since its start.
+type record struct {
+	mutex sync.Mutex
+	file  *os.File
+	start time.Time
+}
+
+func newRecord(path string) (*record, error) {
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	return &record{file: file, start: time.Now()}, nil
+}
+
+// line writes a line to the record and to standard output.
+func (r *record) line(format string, values ...any) {
+	text := fmt.Sprintf("%8.3f  ", time.Since(r.start).Seconds()) + fmt.Sprintf(format, values...) + "\n"
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, _ = r.file.WriteString(text)
+}
+
+// say is line for the few lines that also go to standard output.
+func (r *record) say(format string, values ...any) {
+	r.line(format, values...)
+	fmt.Printf(format+"\n", values...)
+}
+
+func (r *record) close() { _ = r.file.Close() }
--- /dev/null
+++ b/review/stand-3/replica.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// replica is a server of a service. A plain one answers after a short time, a model replica sends a stream of events.
+// A request whose prompt has the part crashPart crashes it as it begins to run: all its channels break, and it is back
+// after crashTime.
+type replica struct {
+	record            *record
+	id, service, zone string
+	spot              bool
+	model             bool
+	listener          net.Listener
+	mutex             sync.Mutex
+	conns             map[net.Conn]bool
+	born              int64
+	sequence          int
+	downUntil         time.Time
+	state             string
+	leavesMS          int
+	runs, crashes     int
+	stop              chan struct{}
+	store             *store
+}
+
+const (
+	crashPart   = "dead"
+	crashTime   = 3 * time.Second
+	beatTime    = 1200 * time.Millisecond
+	plainTime   = 20 * time.Millisecond
+	prefillTime = 120 * time.Millisecond
+	eventCount  = 6
+	eventPause  = 20 * time.Millisecond
+)
+
+func newReplica(rec *record, s *store, id, service, zone string, model bool) (*replica, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &replica{
+		record: rec, id: id, service: service, zone: zone, model: model, listener: listener,
+		conns: map[net.Conn]bool{}, born: time.Now().UnixMilli(), state: "ready", stop: make(chan struct{}), store: s,
+	}
+	go r.accept()
+	go r.beat()
+	return r, nil
+}
+
+// beat writes the registration again and again, while the replica is up.
+func (r *replica) beat() {
+	ticker := time.NewTicker(beatTime)
+	defer ticker.Stop()
+	for {
+		r.register()
+		select {
+		case <-ticker.C:
+		case <-r.stop:
+			return
+		}
+	}
+}
+
+func (r *replica) register() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if time.Now().Before(r.downUntil) {
+		return
+	}
+	r.sequence++
+	entry := map[string]any{
+		"service": r.service, "address": r.listener.Addr().String(), "zone": r.zone, "version": "v1", "slots": 16,
+		"state": r.state, "cold_remaining_ms": 0, "sequence": r.sequence, "born": r.born,
+	}
+	if r.spot {
+		entry["spot"] = true
+	}
+	if r.leavesMS > 0 {
+		entry["leaves_ms"] = r.leavesMS
+	}
+	value, _ := json.Marshal(entry)
+	r.store.put(names["servers"], r.id, value)
+}
+
+func (r *replica) accept() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mutex.Lock()
+		down := time.Now().Before(r.downUntil)
+		if !down {
+			r.conns[conn] = true
+		}
+		r.mutex.Unlock()
+		if down {
+			reset(conn)
+			continue
+		}
+		go r.serve(conn)
+	}
+}
+
+func (r *replica) serve(conn net.Conn) {
+	defer func() {
+		_ = conn.Close()
+		r.mutex.Lock()
+		delete(r.conns, conn)
+		r.mutex.Unlock()
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if !r.respond(conn, request) {
+			return
+		}
+	}
+}
+
+// respond answers a request and reports whether the channel stays open.
+func (r *replica) respond(conn net.Conn, request *http.Request) bool {
+	id := request.Header.Get(names["callID"])
+	if request.Header.Get(names["expected"]) != r.id {
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", names["replicaID"], r.id)
+		return err == nil
+	}
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s.%s\r\n", names["callID"], id, names["signature"], r.id, id)
+	if !r.model {
+		time.Sleep(plainTime)
+		r.count()
+		_, err := fmt.Fprintf(conn, "%sContent-Length: 2\r\n\r\nok", head)
+		return err == nil
+	}
+	parts := request.Header.Get(names["parts"])
+	time.Sleep(prefillTime)
+	r.count()
+	if strings.HasPrefix(parts, crashPart+":") {
+		r.record.line("replica %s: begins to run %s with %d parts, which crashes it", r.id, id, strings.Count(parts, ",")+1)
+		r.crash()
+		return false
+	}
+	if _, err := fmt.Fprintf(conn, "%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", head); err != nil {
+		return false
+	}
+	for i := 1; i <= eventCount; i++ {
+		event := fmt.Sprintf("id: %d\ndata: token-%d\n\n", i, i)
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+		time.Sleep(eventPause)
+	}
+	_, err := fmt.Fprint(conn, "0\r\n\r\n")
+	return err == nil
+}
+
+func (r *replica) count() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.runs++
+}
+
+// crash breaks all channels. The replica is back after crashTime, as a new process.
+func (r *replica) crash() {
+	r.mutex.Lock()
+	conns := r.conns
+	r.conns = map[net.Conn]bool{}
+	r.crashes++
+	r.downUntil = time.Now().Add(crashTime)
+	r.born = r.downUntil.UnixMilli()
+	r.mutex.Unlock()
+	for c := range conns {
+		reset(c)
+	}
+}
+
+// setLeaving makes the replica report that it leaves after a time.
+func (r *replica) setLeaving(after time.Duration) {
+	r.mutex.Lock()
+	r.state, r.leavesMS = "draining", int(after.Milliseconds())
+	r.mutex.Unlock()
+	r.register()
+}
+
+func (r *replica) close() {
+	close(r.stop)
+	_ = r.listener.Close()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+// reset closes a channel with a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
