--- a/review/stand-3/link.go
+++ b/review/stand-3/link.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -118,11 +119,15 @@
 // pass copies what one end writes to the other one.
 func (l *link) pass(from, to net.Conn) {
 	segments := make(chan segment, 1024)
+	var wasReset atomic.Bool
 	go func() {
 		defer close(segments)
 		for {
 			buffer := make([]byte, 32<<10)
 			n, err := from.Read(buffer)
+			if errors.Is(err, syscall.ECONNRESET) {
+				wasReset.Store(true)
+			}
 			segments <- segment{data: buffer[:n], at: time.Now(), err: err}
 			if err != nil {
 				return
@@ -130,7 +135,12 @@
 		}
 	}()
 	for s := range segments {
+		held := l.isCut()
 		l.arrival(s.at)
+		if held && wasReset.Load() {
+			reset(to)
+			break
+		}
 		if len(s.data) > 0 {
 			if _, err := to.Write(s.data); err != nil {
 				reset(from)
