--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -42,6 +42,7 @@
 	"stale":   runStale,
 	"flood":   runFlood,
 	"shed":    runShed,
+	"again":   runAgain,
 }
 
 func main() {
--- a/review/stand-3/record.go
+++ b/review/stand-3/record.go
@@ -12,6 +12,8 @@
 	mutex sync.Mutex
 	file  *os.File
 	start time.Time
+	// crashes are the requests that have crashed a replica.
+	crashes []arrival
 }
 
 func newRecord(path string) (*record, error) {
@@ -36,4 +38,11 @@
 	fmt.Printf(format+"\n", values...)
 }
 
+// crash records a request that crashes a replica.
+func (r *record) crash(id string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.crashes = append(r.crashes, arrival{id, time.Now()})
+}
+
 func (r *record) close() { _ = r.file.Close() }
--- a/review/stand-3/replica.go
+++ b/review/stand-3/replica.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -151,7 +152,8 @@
 	parts := request.Header.Get(names["parts"])
 	time.Sleep(prefillTime)
 	r.count()
-	if strings.HasPrefix(parts, crashPart+":") {
+	if hasCrashPart(parts) {
+		r.record.crash(id)
 		r.record.line("replica %s: begins to run %s with %d parts, which crashes it", r.id, id, strings.Count(parts, ",")+1)
 		r.crash()
 		return false
@@ -170,6 +172,12 @@
 	return err == nil
 }
 
+// hasCrashPart reports whether a part of the prompt, but for the last one, is the one that crashes.
+func hasCrashPart(parts string) bool {
+	list := strings.Split(parts, ",")
+	return slices.ContainsFunc(list[:len(list)-1], func(part string) bool { return strings.HasPrefix(part, crashPart+":") })
+}
+
 func (r *replica) count() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/review/stand-3/testbed.go
+++ b/review/stand-3/testbed.go
@@ -154,10 +154,7 @@
 		if d.log, err = os.Create(filepath.Join(tb.folder, d.name+".log")); err != nil {
 			return err
 		}
-		d.command = exec.Command(tb.program, "platform")
-		d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names["settings"] + "=" + d.settings}
-		d.command.Stdout, d.command.Stderr = d.log, d.log
-		if err := d.command.Start(); err != nil {
+		if err := d.run(tb.program); err != nil {
 			return err
 		}
 		tb.daemons = append(tb.daemons, d)
@@ -166,6 +163,14 @@
 	return tb.awaitReady()
 }
 
+// run starts the process.
+func (d *daemon) run(program string) error {
+	d.command = exec.Command(program, "platform")
+	d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), names["settings"] + "=" + d.settings}
+	d.command.Stdout, d.command.Stderr = d.log, d.log
+	return d.command.Start()
+}
+
 // awaitReady waits until all daemons say that they are ready.
 func (tb *testbed) awaitReady() error {
 	for end := time.Now().Add(readyLimit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
