review: replicas of the stand-in register as soon as they are back

Cause: a crashed replica of review/stand-3 was back up to 1.2 s before its registration, which a sound one would not be.

Change: it registers at once.

--- a/review/stand-3/replica.go
+++ b/review/stand-3/replica.go
@@ -196,6 +196,8 @@
 	for c := range conns {
 		reset(c)
 	}
+	// A started replica registers at once.
+	time.AfterFunc(crashTime, r.register)
 }
 
 // setLeaving makes the replica report that it leaves after a time.
