--- a/review/stand-3/case_shed.go
+++ b/review/stand-3/case_shed.go
@@ -48,7 +48,7 @@
 	var clients sync.WaitGroup
 	var mutex sync.Mutex
 	answers := map[string]int{}
-	denied := 0
+	denied, opened := 0, 0
 	for n := range count {
 		time.Sleep(openPause)
 		dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 1, byte(1+n%floodAddresses))}}
@@ -57,6 +57,7 @@
 			tb.record.line("client %d: the channel was not opened: %v", n, err)
 			continue
 		}
+		opened++
 		clients.Go(func() {
 			defer func() { _ = conn.Close() }()
 			time.Sleep(waitingTime)
@@ -71,6 +72,9 @@
 		})
 	}
 	clients.Wait()
+	if opened < count-count/10 {
+		return false, fmt.Errorf("only %d of %d channels could be opened", opened, count)
+	}
 	tb.record.say("answers to %d requests: %v", count, answers)
 	allowed := deniedLeast + count/deniedShare
 	tb.record.say("ended with a 4xx of the system's own: %d, allowed: %d", denied, allowed)
