--- a/review/stand-3/replica.go
+++ b/review/stand-3/replica.go
@@ -49,12 +49,16 @@
 )
 
 func newReplica(rec *record, s *store, id, service, zone string, model bool) (*replica, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	r := &replica{
-		record: rec, id: id, service: service, zone: zone, model: model, listener: listener, address: listener.Addr().String(),
+		record: rec, id: id, service: service, zone: zone, model: model, listener: listener, address: address,
 		conns: map[net.Conn]bool{}, born: time.Now().UnixMilli(), state: "ready", stop: make(chan struct{}), store: s,
 	}
 	go r.accept(listener)
--- a/review/stand-3/testbed.go
+++ b/review/stand-3/testbed.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -48,11 +49,19 @@
 	tenant     = "counter"
 	readyLimit = 25 * time.Second
 
+	// The ports of daemons and replicas. The factor spreads the first ports of scripts that run beside each other.
+	firstPort  = 20000
+	portCount  = 12000
+	portFactor = 7919
+
 	plainTimeout = 1200 * time.Millisecond
 	modelTimeout = 4 * time.Second
 )
 
-var zones = []string{"oslo-a", "oslo-b", "oslo-c"}
+var (
+	zones    = []string{"oslo-a", "oslo-b", "oslo-c"}
+	nextPort atomic.Int64
+)
 
 // start starts the store, the API and the replicas, and publishes the configuration.
 func (tb *testbed) start(extraServices ...map[string]any) error {
@@ -237,16 +246,18 @@
 	})
 }
 
-// freeAddress returns a loopback address whose port is free for TCP and UDP.
+// freeAddress returns a loopback address whose port is free for TCP and UDP, below those that the kernel gives to outgoing
+// channels: one of them could take the port of a process that is down. It does not return the same address twice.
 func freeAddress() (string, error) {
-	for range 50 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portCount {
+		n := (int64(os.Getpid())*portFactor + nextPort.Add(1)) % portCount
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+n)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return "", err
+			continue
 		}
-		address := listener.Addr().String()
-		_ = listener.Close()
 		packets, err := net.ListenPacket("udp4", address)
+		_ = listener.Close()
 		if err != nil {
 			continue
 		}
