relay: log lines tell how current a configuration is

Refusals as NoRoute and UnknownKey now name who read the operators' records last, how long ago, and the newest version that was announced; 'Configuration applied.' names its source, 'Reachable.' the failed reads before it. Decisions are unchanged. go test ./entryd/relay passes.

--- a/entryd/relay/control.go
+++ b/entryd/relay/control.go
@@ -255,7 +255,7 @@
 			d.logger.WithName("control").V(1).Info("Snapshot not received.", "From", address, "Error", err.Error())
 			continue
 		}
-		d.applyOperatorRecords(s.Operators)
+		d.applyOperatorRecords(s.Operators, address)
 		d.tables.markOperatorsListed()
 		d.listMembers(s.Members)
 		keys := d.tables.endpointsOutside(s)
--- a/entryd/relay/evacuation_test.go
+++ b/entryd/relay/evacuation_test.go
@@ -100,7 +100,7 @@
 	now := time.Unix(1000, 0)
 	source := newTestDaemon(t, &now)
 	source.codec.Evacuation = evacuationCodec
-	source.applyOperatorRecords([]Record{evacuationOrder("a", 5), evacuationOrder("b", 6), {Key: evacuationKey + "c", Era: 1, Offset: 7}})
+	source.applyOperatorRecords([]Record{evacuationOrder("a", 5), evacuationOrder("b", 6), {Key: evacuationKey + "c", Era: 1, Offset: 7}}, fromLog)
 	source.applyOperatorListing(value.Position{Era: 1, Offset: 9}, []string{evacuationKey + "b"})
 	messages := map[string][]Record{
 		"digest": source.tables.digest(now, false).Evacuations, "sums": source.tables.sums(now, false, false).Evacuations,
@@ -109,7 +109,7 @@
 	for name, records := range messages {
 		receiver := newTestDaemon(t, &now)
 		receiver.codec.Evacuation = evacuationCodec
-		receiver.applyOperatorRecords([]Record{evacuationOrder("a", 5)})
+		receiver.applyOperatorRecords([]Record{evacuationOrder("a", 5)}, fromLog)
 		m, err := decodeMessage(message{Daemon: "entry-1", Incarnation: "1", DataCentre: "a", TimeMS: now.UnixMilli(), Evacuations: records})
 		if err != nil {
 			t.Fatal(err)
--- a/entryd/relay/freshness.go
+++ b/entryd/relay/freshness.go
@@ -86,6 +86,22 @@
 	}
 }
 
+// lastRead returns when the stream was last read for this daemon, by itself or by the daemon that informs it, and
+// whether it was itself.
+func (f *freshness) lastRead(stream Stream, isHub bool) (at time.Time, own bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	others := f.readsFor(isHub)[stream]
+	return value.Later(f.ownReadAt[stream], others), !others.After(f.ownReadAt[stream])
+}
+
+// announced returns the newest configuration version that a daemon has reported.
+func (f *freshness) announced() int64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.announcedVersion
+}
+
 // lacksVersion reports whether a version newer than the given one was announced and an own read has not
 // brought it.
 func (f *freshness) lacksVersion(version int64) bool {
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -380,7 +380,7 @@
 // handleOperators applies operators' records that a hub has forwarded, and forwards them to the
 // followers of this daemon.
 func (g *gossip) handleOperators(m message) {
-	g.daemon.applyOperatorRecords(m.Operators)
+	g.daemon.applyOperatorRecords(m.Operators, m.Daemon)
 	from := value.Position{Era: m.OperatorsEra, Offset: m.OperatorsFrom}
 	next := value.Position{Era: m.OperatorsEra, Offset: m.OperatorsNext}
 	g.daemon.freshness.recordForwarded(from, next)
--- a/entryd/relay/server.go
+++ b/entryd/relay/server.go
@@ -67,12 +67,12 @@
 	}
 	var ok bool
 	if x.route, ok = x.config.Match(x.call.Host, x.call.Path); !ok {
-		x.refuse(http.StatusNotFound, "NoRoute", time.Time{}, "Path", x.call.Path)
+		x.refuse(http.StatusNotFound, "NoRoute", time.Time{}, append(x.configFields(), "Path", x.call.Path)...)
 		return false
 	}
 	if x.config.HasAccounts() && !x.route.Public {
 		if x.account, ok = x.config.AccountByKey(x.call.Credential); !ok {
-			x.refuse(http.StatusUnauthorized, "UnknownKey", time.Time{})
+			x.refuse(http.StatusUnauthorized, "UnknownKey", time.Time{}, x.configFields()...)
 			return false
 		}
 	} else {
@@ -111,6 +111,24 @@
 	return true
 }
 
+// configFields returns the log fields that tell how current the configuration is by which a request is refused: who read
+// it last, how long ago, and the newest version that a daemon has reported.
+func (x *exchange) configFields() []any {
+	d := x.daemon
+	now := d.clock.now()
+	hub, isHub := d.members.currentHub(now)
+	readAt, own := d.freshness.lastRead(Operators, isHub)
+	reader := hub.Name
+	if isHub {
+		other, _ := d.members.reader(now)
+		reader = other.Name
+	}
+	if own {
+		reader = d.settings.Name
+	}
+	return []any{"ReadBy", reader, "ReadMilliseconds", ageMS(readAt, now), "Announced", d.freshness.announced()}
+}
+
 // readBody reads the request's body by the request's deadline. It returns false if the body is too
 // large or too slow, and aborts the request if the caller has left.
 func (x *exchange) readBody() bool {
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -37,6 +37,8 @@
 		listedEra int64
 		// relisted is set after a full read because of trimmed records, until new records were read.
 		relisted bool
+		// failures is the number of reads in a row that have failed.
+		failures int
 	}
 )
 
@@ -66,6 +68,8 @@
 	// daemons an outage of 6 s cost 2,100 calls.
 	readRetryDelay         = 300 * time.Millisecond
 	followerReadRetryDelay = 1200 * time.Millisecond
+	// fromLog is the source of records that this daemon has read itself.
+	fromLog = "Log"
 )
 
 // errOldEra reports a response of the log from an era that has ended.
@@ -74,7 +78,8 @@
 // watchOperators reads the operators' stream.
 func (d *Daemon) watchOperators(ctx context.Context) error {
 	s := &streamReader{
-		daemon: d, stream: Operators, wait: operatorsWait, apply: d.applyOperatorRecords,
+		daemon: d, stream: Operators, wait: operatorsWait,
+		apply:        func(records []Record) { d.applyOperatorRecords(records, fromLog) },
 		setReachable: func(reachable bool) { d.operatorsUnreachable.Store(!reachable) },
 		onListing:    d.applyOperatorListing,
 		forward:      d.gossip.sendOperators,
@@ -273,6 +278,13 @@
 // reportState reports whether the log is reachable and logs a change.
 func (s *streamReader) reportState(err error) {
 	reachable := err == nil
+	failures := s.failures
+	if reachable {
+		s.failures = 0
+	} else {
+		s.failures++
+		s.daemon.meters.count("Store.ReadsFailed")
+	}
 	if s.setReachable != nil {
 		s.setReachable(reachable)
 	}
@@ -284,16 +296,16 @@
 	if reachable {
 		now := s.daemon.clock.now()
 		s.daemon.logger.WithName("store").Info("Reachable.", "Stream", s.stream, "Next", next.Offset, "Era", next.Era,
-			"ReadableMilliseconds", ageMS(s.daemon.tables.logReadableSince(now), now))
+			"Failures", failures, "ReadableMilliseconds", ageMS(s.daemon.tables.logReadableSince(now), now))
 		return
 	}
 	s.daemon.meters.count("Store.Lost")
 	s.daemon.logger.WithName("store").Info("Unreachable.", "Stream", s.stream, "Next", next.Offset, "Era", next.Era, "Error", err.Error())
 }
 
-// applyOperatorRecords applies operators' records. Evacuations come first: with its first configuration a daemon may
-// begin to serve.
-func (d *Daemon) applyOperatorRecords(records []Record) {
+// applyOperatorRecords applies operators' records that came from fromLog or from the named daemon. Evacuations come
+// first: with its first configuration a daemon may begin to serve.
+func (d *Daemon) applyOperatorRecords(records []Record, from string) {
 	var others []Record
 	for _, r := range records {
 		if !d.applyEvacuationRecord(r) {
@@ -301,12 +313,12 @@
 		}
 	}
 	for _, r := range others {
-		d.applyOperatorRecord(r)
+		d.applyOperatorRecord(r, from)
 	}
 }
 
 // applyOperatorRecord applies an operators' record that concerns no evacuation.
-func (d *Daemon) applyOperatorRecord(r Record) {
+func (d *Daemon) applyOperatorRecord(r Record, from string) {
 	if r.Value == nil {
 		return
 	}
@@ -321,7 +333,7 @@
 	}
 	if d.tables.applyConfig(config, r, d.clock.now()) {
 		d.meters.setGauge("Config.Version", config.Version)
-		d.logger.WithName("config").Info("Configuration applied.", "Version", config.Version, "Offset", r.Offset,
+		d.logger.WithName("config").Info("Configuration applied.", "Version", config.Version, "Offset", r.Offset, "From", from,
 			"Routes", len(config.Routes), "Accounts", len(config.Accounts))
 	}
 }
