relay: a read of the log counts from the state that it shows

What callers may see: a refusal by an older configuration at all daemons that rely on the reader. A read counted as made when its answer was handled. A listing takes up to 1.7 s, an answer may be held up on a slow link, and on a suspended machine the steady clock stands still: the reader and all who rely on it then missed a change for 1.59 s from the answer, 3.4 s from the state that it shows; 3.0 s are allowed.

A read now counts from the moment up to which the log has waited without a record, or from its start if it has records or doesn't wait, by the clock that runs on in suspension. The next read after late records returns at once, so that followers need not read themselves. The spans in which registrations were read (DRAIN) use the same times.

--- a/entryd/relay/freshness.go
+++ b/entryd/relay/freshness.go
@@ -13,7 +13,7 @@
 // reader, or while the reads that inform it are too old.
 type freshness struct {
 	mutex sync.Mutex
-	// ownReadAt is the time of this daemon's last read up to the end of a stream, hubReadAt that of
+	// ownReadAt is the time whose state this daemon's last read up to the end of a stream shows, hubReadAt that of
 	// the read by which its hub informs it, and readerReadAt that of the reader's, which informs hubs.
 	ownReadAt    map[Stream]time.Time
 	hubReadAt    map[Stream]time.Time
@@ -71,18 +71,18 @@
 	}
 }
 
-// recordOwnRead records a read by this daemon up to the stream's end.
-func (f *freshness) recordOwnRead(stream Stream, next value.Position, now time.Time) {
+// recordOwnRead records a read by this daemon up to the stream's end, as it was at a time.
+func (f *freshness) recordOwnRead(stream Stream, next value.Position, shownAt time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.ownReadAt[stream], f.own[stream] = now, value.Furthest(f.own[stream], next)
+	f.ownReadAt[stream], f.own[stream] = value.Later(f.ownReadAt[stream], shownAt), value.Furthest(f.own[stream], next)
 	if stream == Operators {
 		f.behindSince = time.Time{}
 		if f.announcedVersion > f.soughtVersion {
 			f.soughtVersion = f.announcedVersion
 		}
 		// The read has brought an announced version unless a restored log has lost it. The next read waits.
-		f.announcedAt = value.Later(f.announcedAt, now.Add(ownReadInterval-forwardDelay))
+		f.announcedAt = value.Later(f.announcedAt, shownAt.Add(ownReadInterval-forwardDelay))
 	}
 }
 
--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -39,6 +39,8 @@
 		relisted bool
 		// failures is the number of reads in a row that have failed.
 		failures int
+		// outdated is set if the last read shows too old a state for the next one to wait for a record.
+		outdated bool
 	}
 )
 
@@ -61,6 +63,9 @@
 	// resumeAge is the age of a daemon's last read from which the next one returns at once: what others read has
 	// become old, and the read shows them that the log can be read.
 	resumeAge = 1200 * time.Millisecond
+	// maxPromptAge is the age of the state that a read with records shows from which the next read returns at once, so
+	// that others who rely on this daemon's reads need not read themselves.
+	maxPromptAge = 200 * time.Millisecond
 	// aloneTime is the age from which a process that can't read who the others are reads for itself.
 	aloneTime = 600 * time.Millisecond
 	// readRetryDelay follows a failed read of a hub, or of a daemon that has read nothing yet. Others
@@ -107,7 +112,8 @@
 func (d *Daemon) setEndpointsReachable(reachable bool) {
 	now := d.clock.now()
 	if reachable {
-		d.tables.recordLogRead(now, now)
+		_, readAt := d.freshness.readTimes(Endpoints)
+		d.tables.recordLogRead(readAt, readAt)
 	}
 	d.publishChanges(d.tables.setReachable(reachable, now))
 }
@@ -123,7 +129,7 @@
 			}
 			wait = 0
 		}
-		if _, ownReadAt := s.daemon.freshness.readTimes(s.stream); started.Sub(ownReadAt) > resumeAge {
+		if _, ownReadAt := s.daemon.freshness.readTimes(s.stream); s.outdated || started.Sub(ownReadAt) > resumeAge {
 			wait = 0
 		}
 		err := s.readOnce(ctx, wait)
@@ -192,6 +198,7 @@
 		// Others have read this era for the daemon. What its log has lost shows in a full read only.
 		return s.readAll(ctx)
 	}
+	began := s.daemon.clock.boot()
 	page, err := s.daemon.store.Read(call, s.stream, from.Offset, wait)
 	if errors.Is(err, ErrTrimmed) {
 		s.daemon.logger.WithName("store").Info("Records were trimmed; reading all again.", "Stream", s.stream, "From", from.Offset, "Era", from.Era)
@@ -223,15 +230,31 @@
 	if s.forward != nil {
 		s.forward(from, next, page.Records)
 	}
-	s.daemon.freshness.recordOwnRead(s.stream, next, s.daemon.clock.now())
+	waited := wait
+	if len(page.Records) > 0 {
+		// The log has not waited for the whole time, and the records may be as old as the call.
+		waited = 0
+	}
+	age := s.recordRead(next, began, waited)
+	s.outdated = wait > waited && age > maxPromptAge
 	return nil
 }
 
+// recordRead records a read that began at a time of the boot clock and waited for a record. Its answer shows the state
+// of the log when the wait ended, which may be long before it arrived here, and no later one. It returns the age of
+// that state.
+func (s *streamReader) recordRead(next value.Position, began time.Time, waited time.Duration) time.Duration {
+	age := max(s.daemon.clock.boot().Sub(began)-waited, 0)
+	s.daemon.freshness.recordOwnRead(s.stream, next, s.daemon.clock.now().Add(-age))
+	return age
+}
+
 // readAll reads the newest record of each key. It returns errOldEra if the log answers with an era before one
 // that is known.
 func (s *streamReader) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, s.wait+readSlack)
 	defer cancel()
+	began := s.daemon.clock.boot()
 	page, err := s.daemon.store.Newest(ctx, s.stream)
 	if err != nil {
 		return err
@@ -254,7 +277,8 @@
 	}
 	s.synced, s.listedEra = true, page.End.Era
 	// The page may be older than earlier reads of its era; the position never goes back.
-	s.daemon.freshness.recordOwnRead(s.stream, page.End, s.daemon.clock.now())
+	s.recordRead(page.End, began, 0)
+	s.outdated = false
 	return nil
 }
 
