relay: a follower repeats its first failed read after 0.3 s

What callers may see: a refusal by an older configuration at one daemon.

The first failed read is repeated after 0.3 s, as at hubs. From the second one on the pause is 1.2 s as before, since failed calls are billed in an outage.

--- a/entryd/relay/watch.go
+++ b/entryd/relay/watch.go
@@ -68,9 +68,10 @@
 	maxPromptAge = 200 * time.Millisecond
 	// aloneTime is the age from which a process that can't read who the others are reads for itself.
 	aloneTime = 600 * time.Millisecond
-	// readRetryDelay follows a failed read of a hub, or of a daemon that has read nothing yet. Others
-	// rely on their hub's next message and retry less often, since failed calls are billed too: with 68
-	// daemons an outage of 6 s cost 2,100 calls.
+	// readRetryDelay follows a failed read of a hub, or of a daemon that has read nothing yet, and the first of several
+	// failed reads of others: a single one may be that of a lost connection, and a change must still be in force in
+	// time. After more they rely on their hub's next message and retry less often, since failed calls are billed too:
+	// with 68 daemons an outage of 6 s cost 2,100 calls.
 	readRetryDelay         = 300 * time.Millisecond
 	followerReadRetryDelay = 1200 * time.Millisecond
 	// fromLog is the source of records that this daemon has read itself.
@@ -179,7 +180,7 @@
 
 // readRetryDelay returns the pause after a failed read.
 func (s *streamReader) readRetryDelay() time.Duration {
-	if _, isHub := s.daemon.members.currentHub(s.daemon.clock.now()); isHub || !s.synced {
+	if _, isHub := s.daemon.members.currentHub(s.daemon.clock.now()); isHub || !s.synced || s.failures <= 1 {
 		return readRetryDelay
 	}
 	return followerReadRetryDelay
