adapt: after a failed call, idle connections to the log are closed

What callers may see: a refusal by an older configuration at one daemon, seconds after connections have gone silent without a reset. A daemon kept four idle connections to the log for 30 s, although most daemons rely on others' reads and use none. Once silent, each cost a read of 0.9 s or more and a pause: four reads, up to 9.6 s at a follower.

TestSilentConnectionsToTheLog failed before (4 reads, 1 allowed) and passes, 5 of 5 runs; the tests of cut, repeated and late calls pass.

--- a/entryd/relay/control.go
+++ b/entryd/relay/control.go
@@ -279,6 +279,8 @@
 	}
 	response, err := snapshotClient.Do(request)
 	if err != nil {
+		// The idle connections may have gone silent together with this one.
+		snapshotClient.CloseIdleConnections()
 		return s, err
 	}
 	defer func() { _ = response.Body.Close() }()
