relay: no refusal by a configuration that is known to be outdated

A daemon hears of a newer version in every message of its hub and of daemons that introduce themselves, and may lack the record for 0.3 s and a read, longer if reads fail. Until then it answered 404 for a route and 401 for a key that the newer version may have.

It now answers 503 with a time to retry, until the record is here or a later read shows that the log does not have it (a restored log, a false report). With no newer version announced, 404 and 401 come at once as before.

--- a/entryd/relay/freshness.go
+++ b/entryd/relay/freshness.go
@@ -38,6 +38,8 @@
 	// announcedAt when that version was first reported.
 	announcedVersion int64
 	announcedAt      time.Time
+	// firstAnnouncedAt is when that version was first reported, also if announcedAt was put off.
+	firstAnnouncedAt time.Time
 	// soughtVersion is the newest version that had been announced when an own read ended.
 	soughtVersion int64
 }
@@ -246,10 +248,19 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if version > f.announcedVersion {
-		f.announcedVersion, f.announcedAt = version, now
+		f.announcedVersion, f.announcedAt, f.firstAnnouncedAt = version, now, now
 	}
 }
 
+// outdated reports whether a configuration newer than the given version was announced and no later read has shown that
+// the log lacks it.
+func (f *freshness) outdated(version int64) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	shownAt := value.Later(f.ownReadAt[Operators], f.matchedAt[Operators])
+	return f.announcedVersion > version && !shownAt.After(f.firstAnnouncedAt)
+}
+
 // missingRecords reports whether a configuration newer than the given version, or other operators'
 // records, were announced and no hub has forwarded them in time.
 func (f *freshness) missingRecords(version int64, now time.Time) bool {
--- a/entryd/relay/server.go
+++ b/entryd/relay/server.go
@@ -14,7 +14,7 @@
 	// defaultMaxBodyBytes limits a request's body if the configuration states no limit.
 	defaultMaxBodyBytes = 4 << 20
 	// noConfigRetryDelay is the delay after which a caller may retry at a daemon without a
-	// configuration.
+	// configuration, or without the newest one.
 	noConfigRetryDelay = 300 * time.Millisecond
 	// noRoomRetryDelay is the delay after which a caller may retry a request for whose body there was no room.
 	noRoomRetryDelay = 500 * time.Millisecond
@@ -67,12 +67,12 @@
 	}
 	var ok bool
 	if x.route, ok = x.config.Match(x.call.Host, x.call.Path); !ok {
-		x.refuse(http.StatusNotFound, "NoRoute", time.Time{}, append(x.configFields(), "Path", x.call.Path)...)
+		x.refuseUnknown(http.StatusNotFound, "NoRoute", "Path", x.call.Path)
 		return false
 	}
 	if x.config.HasAccounts() && !x.route.Public {
 		if x.account, ok = x.config.AccountByKey(x.call.Credential); !ok {
-			x.refuse(http.StatusUnauthorized, "UnknownKey", time.Time{}, x.configFields()...)
+			x.refuseUnknown(http.StatusUnauthorized, "UnknownKey")
 			return false
 		}
 	} else {
@@ -111,6 +111,17 @@
 	return true
 }
 
+// refuseUnknown refuses a request whose route or key the configuration does not have. If a newer version is known and
+// missing here, that one may have it, and the caller is asked to retry.
+func (x *exchange) refuseUnknown(status int, reason string, fields ...any) {
+	fields = append(x.configFields(), fields...)
+	if x.daemon.freshness.outdated(x.config.Version) {
+		x.refuse(http.StatusServiceUnavailable, "ConfigurationOutdated", x.arrived.Add(noConfigRetryDelay), append(fields, "Lacks", reason)...)
+		return
+	}
+	x.refuse(status, reason, time.Time{}, fields...)
+}
+
 // configFields returns the log fields that tell how current the configuration is by which a request is refused: who read
 // it last, how long ago, and the newest version that a daemon has reported.
 func (x *exchange) configFields() []any {
