--- a/entryd/relay/pool.go
+++ b/entryd/relay/pool.go
@@ -32,8 +32,13 @@
 		limits intake.Limits
 		// open is the number of connections, including those being dialled.
 		open atomic.Int64
+		// connect opens a connection.
+		connect Connect
 	}
 
+	// Connect opens a TCP connection to an address of the form host:port.
+	Connect func(ctx context.Context, options dial.Options, address string) (net.Conn, error)
+
 	// endpointConn is a connection to an endpoint.
 	endpointConn struct {
 		*answer.Conn
@@ -69,7 +74,11 @@
 )
 
 func newPool(limits intake.Limits) *pool {
-	return &pool{idle: map[string][]*endpointConn{}, limits: limits}
+	return &pool{idle: map[string][]*endpointConn{}, limits: limits, connect: connect}
+}
+
+func connect(ctx context.Context, options dial.Options, address string) (net.Conn, error) {
+	return dial.New(options).DialContext(ctx, "tcp", address)
 }
 
 // count returns the number of connections.
@@ -103,7 +112,7 @@
 	if open > p.limits.RoomyEndpoints {
 		buffer = p.limits.CrowdedEndpointBytes
 	}
-	conn, err := dial.New(dial.Options{Timeout: dialTimeout, ReceiveBuffer: buffer}).DialContext(ctx, "tcp", address)
+	conn, err := p.connect(ctx, dial.Options{Timeout: dialTimeout, ReceiveBuffer: buffer}, address)
 	if err != nil {
 		p.open.Add(-1)
 		return nil, err
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -59,6 +59,7 @@
 		meters      *meters
 		clock       clock
 		random      func() float64
+		connect     Connect
 		incarnation string
 		startedAt   time.Time
 
@@ -136,6 +137,11 @@
 	return func(d *Daemon) { d.random = random }
 }
 
+// WithConnect sets how connections to endpoints are opened.
+func WithConnect(connect Connect) Option {
+	return func(d *Daemon) { d.connect = connect }
+}
+
 // New returns a daemon that does not serve yet. It returns ErrInvalidSettings for invalid settings.
 func New(settings Settings, store Store, cloud Cloud, codec Codec, options ...Option) (*Daemon, error) {
 	if err := settings.Check(); err != nil {
@@ -143,7 +149,7 @@
 	}
 	d := &Daemon{
 		settings: settings, codec: codec,
-		logger: logr.Discard(), meters: newMeters(), clock: newClock(), random: rand.Float64,
+		logger: logr.Discard(), meters: newMeters(), clock: newClock(), random: rand.Float64, connect: connect,
 		incarnation: string(ident.NewIncarnation()),
 	}
 	for _, option := range options {
@@ -161,6 +167,7 @@
 		Limits: limits, Logger: d.logger.WithName("gate"), Count: d.meters.count, EchoHeader: codec.CallIDHeader,
 	})
 	d.pool = newPool(limits)
+	d.pool.connect = d.connect
 	d.budget = newBudget(settings.Limits)
 	d.snapshots = make(chan struct{}, maxSnapshots)
 	d.freshness = newFreshness(d.tables.rosterHash)
