relay, assist: a daemon that has lost its links hands requests over

The cause: a daemon had one way to the endpoints, its own links, and blamed each endpoint for a failure of all links.

decide/assist tells lost links from lost endpoints: connections to several endpoints fail, tests of others fail too, and another daemon opens some at the same time. While they are lost, and for what can't be served with the links left, another daemon with room serves the request: over HTTP at its control address, once at most, with the configuration, the time left, the sends made and the endpoints tried. Failed attempts meanwhile count for nothing else.

--- a/entryd/relay/adapter.go
+++ b/entryd/relay/adapter.go
@@ -152,6 +152,9 @@
 		ReadCall func(r *http.Request, now time.Time) (Call, error)
 		// RequestHeader returns the header of a request to an endpoint.
 		RequestHeader func(c Call, s AttemptInfo) http.Header
+		// HandOverHeader returns the header of a caller's request with which another daemon reads the same call, with the
+		// deadline and the last event of the attempt.
+		HandOverHeader func(header http.Header, s AttemptInfo) http.Header
 		// ReadReply reads the head of an endpoint's response.
 		ReadReply func(status int, header http.Header, now time.Time) Reply
 		// RefusalHeader returns the header of the daemon's own responses. A zero retryAt leaves out
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -12,10 +12,12 @@
 	"strings"
 	"time"
 
+	"lentilstage.dev/decide/assist"
 	"lentilstage.dev/decide/choice"
 	"lentilstage.dev/decide/health"
 	"lentilstage.dev/domain/setup"
 	"lentilstage.dev/domain/value"
+	"lentilstage.dev/entryd/gate"
 	"lentilstage.dev/wire/answer"
 )
 
@@ -34,6 +36,8 @@
 		next    selection
 		// returnGranted reports whether the request may return to this endpoint.
 		returnGranted bool
+		// answered reports whether the head of the response has arrived.
+		answered bool
 		// began reports whether the endpoint has begun its response: a stream with its first event, another
 		// response with its head.
 		began bool
@@ -43,12 +47,15 @@
 		firstSpeed value.Option[float64]
 		// reply is what the head of the response says; its zero value until the head was read.
 		reply Reply
-		// writeResult receives the result of a write that runs while the response is read.
-		writeResult chan error
+		// unsent is what is still being sent while the response is read.
+		unsent unsent
 		// held is what the attempt holds of the response, in bytes.
 		held [partCount]int64
 	}
 
+	// unsent receives the result of sending the rest of a request; nil if there is none.
+	unsent chan error
+
 	// part is a part of a response that is held.
 	part int
 
@@ -123,6 +130,10 @@
 	if err != nil {
 		return a.dialFailed(err)
 	}
+	links := x.daemon.links
+	if !reused {
+		links.observeConnect(endpoint.ID, nil)
+	}
 	if !reused && x.callerLeft() {
 		// It has left while this request was being connected.
 		_ = c.Close()
@@ -154,11 +165,18 @@
 		"Fetched", picked.Fetched, "Source", picked.Source, "Reused", reused, "LastEvent", x.lastEvent, "Copy", x.lane == copyLane)
 	// Closes the connection as soon as the caller leaves, which cancels the work at the endpoint.
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	links.update(assist.Sent{ID: endpoint.ID, Now: a.sentAt})
 	result, keep, header := a.run()
+	if !a.answered {
+		links.update(assist.Ended{ID: endpoint.ID})
+	}
 	c.reader.Hold = nil
 	a.releaseHeld(result)
 	failedOver := a.silence.end()
-	if failedOver {
+	switch {
+	case failedOver && a.next.placed == nil:
+		x.retryGranted = true
+	case failedOver:
 		x.reserved, x.silent, x.returnGranted = &a.next, endpoint.ID, a.returnGranted
 	}
 	if stop() && keep && !failedOver {
@@ -221,6 +239,9 @@
 		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", reason)
 		return false
 	}
+	if x.daemon.links.lost() {
+		return a.leave(sends)
+	}
 	next, ok := x.selectEndpoint(responseStarted)
 	if !ok {
 		x.log("No fail-over.", "Endpoint", a.endpoint.ID, "Reason", "NoEndpoint")
@@ -245,12 +266,28 @@
 	return true
 }
 
+// leave ends an attempt whose link is lost, so that another daemon serves the request, and reports whether it did.
+func (a *attempt) leave(sends int) bool {
+	x := a.x
+	if x.race != nil || x.handed != nil {
+		return false
+	}
+	if _, granted := x.grantRetry(stalled, sends, 0); !granted {
+		return false
+	}
+	_ = a.endpointConn.Close()
+	return true
+}
+
 func (a *attempt) dialFailed(err error) outcome {
 	if result, interrupted := a.interrupted(); interrupted {
 		return result
 	}
 	a.x.log("Connecting failed.", "Endpoint", a.endpoint.ID, "Address", a.endpoint.Address, "Error", err.Error())
-	a.x.recordHealth(a.endpoint, health.Unreachable, a.picked, a.x.daemon.clock.now())
+	links := a.x.daemon.links
+	if links.observeConnect(a.endpoint.ID, err); !links.doubted() {
+		a.x.recordHealth(a.endpoint, health.Unreachable, a.picked, a.x.daemon.clock.now())
+	}
 	return notSent
 }
 
@@ -286,11 +323,9 @@
 	if result == broken && !a.began {
 		x.lost = &lostResponse{address: a.endpoint.Address, at: x.daemon.clock.wallNow()}
 	}
-	x.daemon.tables.recordAttempt(x.suspect, result, x.daemon.clock.now())
-	a.recordParts(result, x.daemon.clock.now())
-	a.recordUnanswered(result, x.daemon.clock.now())
-	if kind, affectsHealth := healthOutcomes[result]; affectsHealth {
-		x.recordHealth(a.endpoint, kind, a.picked, a.sentAt)
+	if a.answered || !x.daemon.links.doubted() {
+		// Otherwise the link may have failed, and not the endpoint.
+		a.recordEvidence(result)
 	}
 	fields := []any{"Endpoint", a.endpoint.ID, "Outcome", result, "Milliseconds", x.daemon.clock.now().Sub(a.sentAt).Milliseconds()}
 	if result == broken {
@@ -307,6 +342,17 @@
 	return result
 }
 
+// recordEvidence records what the outcome of the attempt says about its endpoint and about the request.
+func (a *attempt) recordEvidence(result outcome) {
+	x := a.x
+	x.daemon.tables.recordAttempt(x.suspect, result, x.daemon.clock.now())
+	a.recordParts(result, x.daemon.clock.now())
+	a.recordUnanswered(result, x.daemon.clock.now())
+	if kind, affectsHealth := healthOutcomes[result]; affectsHealth {
+		x.recordHealth(a.endpoint, kind, a.picked, a.sentAt)
+	}
+}
+
 // partNames returns the identifiers of the parts of a prompt.
 func partNames(parts []choice.Part) string {
 	names := make([]string, len(parts))
@@ -334,7 +380,9 @@
 		// Only requests that run get a signature.
 		return a.classifyError(errContradiction), false, nil
 	}
-	a.reply = reply
+	a.reply, a.answered = reply, true
+	a.x.daemon.links.heard()
+	a.x.daemon.links.update(assist.Heard{ID: a.endpoint.ID, Now: a.x.daemon.clock.now()})
 	if reply.Leaving {
 		a.recordLeaving()
 	}
@@ -437,17 +485,9 @@
 	if !answer.Framed(response) {
 		return false
 	}
-	if a.writeResult == nil {
-		return true
-	}
 	// The response may arrive before the endpoint has read the complete request. The endpoint would
 	// parse the rest of it as the next request.
-	select {
-	case err := <-a.writeResult:
-		return err == nil
-	default:
-		return false
-	}
+	return a.unsent.done()
 }
 
 // write sends the request. complete reports whether its last byte may have been sent.
@@ -458,33 +498,51 @@
 		Endpoint: a.endpoint.ID, Account: x.account.Name, Deadline: x.deadline, Now: now,
 		LastEventID: x.lastEvent, Priority: x.enginePriority(), Source: a.placed.source,
 	})
+	a.unsent, complete, err = a.endpointConn.send(x.call.Method, x.call.Target, x.call.Host, header, x.call.Body)
+	return complete, err
+}
+
+// send sends a request. complete reports whether its last byte may have been sent. A large body goes on being sent
+// after the return.
+func (c *endpointConn) send(method, target, host string, header http.Header, body *gate.Body) (rest unsent, complete bool, err error) {
 	var head bytes.Buffer
 	head.Grow(1024)
-	head.WriteString(x.call.Method + " " + x.call.Target + " HTTP/1.1\r\nHost: " + x.call.Host + "\r\n")
-	body := x.call.Body
-	if body.Size() > 0 || x.call.Method != http.MethodGet {
+	head.WriteString(method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n")
+	if body.Size() > 0 || method != http.MethodGet {
 		header.Set("Content-Length", strconv.Itoa(body.Size()))
 	}
 	if err := header.Write(&head); err != nil {
-		return false, err
+		return nil, false, err
 	}
 	head.WriteString("\r\n")
 	// Writes all pieces with one system call, without a copy of them.
 	message := net.Buffers(body.AppendTo([][]byte{head.Bytes()}))
 	if size := head.Len() + body.Size(); size <= maxInlineBytes {
-		n, err := a.endpointConn.WriteBuffers(message)
-		return n == int64(size), err
+		n, err := c.WriteBuffers(message)
+		return nil, n == int64(size), err
 	}
-	a.writeResult = make(chan error, 1)
-	writeResult, conn := a.writeResult, a.endpointConn
+	rest = make(unsent, 1)
 	// The attempt may end before its last byte was written.
 	body.Retain()
 	go func() {
 		defer body.Release()
-		_, err := conn.WriteBuffers(message)
-		writeResult <- err
+		_, err := c.WriteBuffers(message)
+		rest <- err
 	}()
-	return true, nil
+	return rest, true, nil
+}
+
+// done reports whether the whole request was sent.
+func (u unsent) done() bool {
+	if u == nil {
+		return true
+	}
+	select {
+	case err := <-u:
+		return err == nil
+	default:
+		return false
+	}
 }
 
 // readHead reads the head of the response to this request. It skips responses to earlier requests,
--- a/entryd/relay/control.go
+++ b/entryd/relay/control.go
@@ -64,8 +64,13 @@
 // snapshotClient reads the snapshots of other daemons.
 var snapshotClient = &http.Client{Transport: answer.Wrap(&http.Transport{IdleConnTimeout: snapshotIdleTime})}
 
-// serveControl sends other daemons a snapshot of the records that this one knows.
+// serveControl sends other daemons a snapshot of the records that this one knows, and serves requests that they hand
+// over.
 func (d *Daemon) serveControl(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(handOverHeader) != "" && strings.HasPrefix(r.RequestURI, handOverPath) {
+		d.serveHandOver(w, r)
+		return
+	}
 	// The deadline stays with the connection, so each request sets its own. A server without deadlines, as
 	// in a test, leaves the receiver's own timeout.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(snapshotWriteTimeout))
--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -46,6 +46,14 @@
 		silent string
 		// returnGranted reports whether the retry budget has granted the return to it.
 		returnGranted bool
+		// handed describes the request if another daemon has handed it over; nil for one of an own caller.
+		handed *handOver
+		// sends is the number of times that the request was sent to an endpoint, or may have been.
+		sends int
+		// counted reports whether the retry budget has counted the request.
+		counted bool
+		// retryGranted reports whether the retry budget has granted that another daemon serves the request.
+		retryGranted bool
 		// mayHaveRun reports whether an endpoint may have run the request.
 		mayHaveRun bool
 		// responseStarted reports whether a part of the response was sent to the caller.
@@ -123,23 +131,26 @@
 	x.service = x.route.PickService(d.random())
 	x.lastEvent = x.call.LastEventID
 	x.logArrival()
-	x.standing = d.tables.standing(x.demandKey(), x.waitsUntil(), x.arrived)
-	d.budget.arrived(x.service, d.clock.now())
 	ctx, cancel := context.WithDeadline(x.request.Context(), x.deadline)
 	defer cancel()
 	// At the end of a stop, the request gets an answer while its connection is still open.
 	defer context.AfterFunc(d.ended, cancel)()
 	defer x.releaseReserved()
-	sends, dials := 0, 0
+	if x.handOverLost(ctx) {
+		return
+	}
+	x.standing = d.tables.standing(x.demandKey(), x.waitsUntil(), x.arrived)
+	x.countArrival()
+	dials := 0
 	for {
-		next, ok := x.place()
+		next, ok := x.place(ctx)
 		if !ok {
 			return
 		}
 		x.countReturn(len(x.tried))
 		x.tried[next.endpoint.ID] = true
-		result, copies := x.attemptHedged(ctx, next, sends)
-		sends += copies
+		result, copies := x.attemptHedged(ctx, next, x.sends)
+		x.sends += copies
 		if x.responseStarted && (x.route.Kind != setup.Stream || x.positionUnknown) && result != delivered && result != callerGone {
 			// Only a stream can go on at another endpoint, after an event that has an identifier.
 			x.fail(result, string(result))
@@ -150,7 +161,7 @@
 			d.meters.observe("Answer.Milliseconds", d.clock.now().Sub(x.arrived))
 			return
 		case callerGone:
-			x.log("Caller left.", "Endpoint", next.endpoint.ID, "Sends", sends+1, "MayHaveRun", x.mayHaveRun)
+			x.log("Caller left.", "Endpoint", next.endpoint.ID, "Sends", x.sends+1, "MayHaveRun", x.mayHaveRun)
 			d.meters.count("Callers.Left")
 			if !x.mayHaveRun && x.cost > 0 {
 				d.tables.returnAllowance(x.account.Name, x.cost)
@@ -165,20 +176,30 @@
 			return
 		case notSent:
 			if dials++; dials >= maxDials && !x.reserveSilent(notSent) {
-				x.fail(notSent, "Unreachable")
+				if !x.mayHandOver() || !x.handOver(ctx, "Unreachable") {
+					x.fail(notSent, "Unreachable")
+				}
 				return
 			}
 			continue
 		default:
-			sends++
+			x.sends++
 		}
-		if !x.mayContinue(result, sends) {
+		if !x.mayContinue(result, x.sends) {
 			x.fail(result, string(result))
 			return
 		}
 	}
 }
 
+// countArrival counts the request in the retry budget, unless the daemon that has handed it over did.
+func (x *exchange) countArrival() {
+	if x.handed == nil || !x.handed.Counted {
+		x.daemon.budget.arrived(x.service, x.daemon.clock.now())
+	}
+	x.counted = true
+}
+
 // countReturn counts a request that was refused before and is now sent to its first endpoint.
 func (x *exchange) countReturn(tried int) {
 	if tried == 0 && x.standing.returned {
@@ -189,7 +210,8 @@
 // mayContinue reports whether another attempt may follow one that has failed. After the last permitted send,
 // the request may still return to an endpoint that a fail-over has left, since that is no further endpoint.
 func (x *exchange) mayContinue(result outcome, sends int) bool {
-	if x.reserved != nil {
+	if x.reserved != nil || x.retryGranted {
+		x.retryGranted = false
 		return true
 	}
 	if sends < x.route.MaxAttempts && x.requestRetry(result, sends) {
@@ -206,17 +228,22 @@
 }
 
 // place selects an endpoint that can serve the request in time and counts the request there. If there
-// is none, it ends the request and returns false.
-func (x *exchange) place() (selection, bool) {
+// is none, it lets another daemon serve the request or ends it, and returns false.
+func (x *exchange) place(ctx context.Context) (selection, bool) {
 	if next, ok := x.takeReserved(); ok {
 		return next, true
 	}
+	if x.handOverLost(ctx) {
+		return selection{}, false
+	}
 	next, ok := x.selectEndpoint(x.responseStarted)
 	if !ok {
 		if x.reserveSilent(notSent) {
 			return x.takeReserved()
 		}
-		x.failWithoutEndpoint()
+		if !x.mayHandOver() || !x.handOver(ctx, "NoEndpoint") {
+			x.failWithoutEndpoint()
+		}
 		return next, false
 	}
 	if verdict := x.checkAdmission(next.picked, x.responseStarted); !verdict.Admitted {
@@ -224,7 +251,9 @@
 		if x.reserveSilent(notSent) {
 			return x.takeReserved()
 		}
-		x.refuseOverload(verdict, next)
+		if verdict.Stopping || !x.mayHandOver() || !x.handOver(ctx, "Overload") {
+			x.refuseOverload(verdict, next)
+		}
 		return next, false
 	}
 	return next, true
--- a/entryd/relay/gossip.go
+++ b/entryd/relay/gossip.go
@@ -331,6 +331,10 @@
 		g.handleChanges(m)
 	case m.Digest:
 		d.tables.observe(m, d.members.silentAt(now), now)
+	case m.AskLinks != nil:
+		g.send(message{LinkAnswer: d.links.answer(*m.AskLinks)}, 0, target{m.Daemon, from})
+	case m.LinkAnswer != nil:
+		d.links.hear(m, now)
 	case m.Probe:
 		g.send(message{}, 0, target{m.Daemon, from})
 	}
--- a/entryd/relay/message.go
+++ b/entryd/relay/message.go
@@ -21,6 +21,7 @@
 	//   - Sum: those of a hub and its followers, for other hubs
 	//   - Operators, Put, Gone: changes, for followers and from the reader for hubs
 	//   - Probe: a daemon introduces itself and asks for a message in return
+	//   - AskLinks, LinkAnswer: a daemon asks what another one reaches
 	message struct {
 		Daemon      string  `cbor:"1,keyasint"`
 		Incarnation string  `cbor:"2,keyasint"`
@@ -81,6 +82,10 @@
 		// Cold holds until when endpoints are cold that have said so, by short identifiers. About once a second and 12
 		// bytes for each such endpoint.
 		Cold map[uint32]coldReport `cbor:"61,keyasint,omitempty"`
+		// AskLinks asks the receiver which endpoints it reaches, LinkAnswer is the answer. Only a daemon that may have lost
+		// its links asks, four others five times a second: 60 bytes and 5 for each endpoint that fails.
+		AskLinks   *linkQuestion `cbor:"70,keyasint,omitempty"`
+		LinkAnswer *linkAnswer   `cbor:"71,keyasint,omitempty"`
 		// Outcomes are the outcomes of roll-outs, by service.
 		Outcomes map[string]outcomes `cbor:"21,keyasint,omitempty"`
 		// Recent is the part of Used by processes that have just started, AgeMS the time since the
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -71,6 +71,7 @@
 		members   *members
 		leader    *leader
 		budget    *budget
+		links     *links
 		// snapshots has an element for each snapshot that is being sent.
 		snapshots chan struct{}
 
@@ -174,6 +175,8 @@
 	d.members = newMembers(settings, d.incarnation)
 	d.gossip = newGossip(d)
 	d.leader = newLeader(d)
+	d.links = newLinks(d)
+	d.tables.failingTo = d.links.failingTo
 	return d, nil
 }
 
@@ -194,6 +197,7 @@
 	group.Go(func() error { return d.leader.run(running) })
 	group.Go(func() error { return d.tickTables(running) })
 	group.Go(func() error { return d.syncFromPeers(running) })
+	group.Go(func() error { return d.links.run(running) })
 	d.logger.WithName("daemon").Info("Started.", "Name", d.settings.Name, "Incarnation", d.incarnation,
 		"Address", d.settings.Listen, "Bootstrap", d.settings.Bootstrap)
 	d.logLimits()
--- a/entryd/relay/server.go
+++ b/entryd/relay/server.go
@@ -30,7 +30,10 @@
 }
 
 // serveCaller serves one request of a caller.
-func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) {
+func (d *Daemon) serveCaller(w http.ResponseWriter, r *http.Request) { d.serveRequest(w, r, nil) }
+
+// serveRequest serves one request of a caller, or of another daemon's caller if handed describes it.
+func (d *Daemon) serveRequest(w http.ResponseWriter, r *http.Request, handed *handOver) {
 	d.openRequests.Add(1)
 	defer d.openRequests.Add(-1)
 	now := d.clock.now()
@@ -45,7 +48,13 @@
 	w.Header()["Content-Type"] = nil
 	d.meters.count("Requests.Received")
 	call, err := d.codec.ReadCall(r, now)
-	x := &exchange{daemon: d, conn: conn, writer: w, request: r, call: call, arrived: now, tried: map[string]bool{}}
+	x := &exchange{daemon: d, conn: conn, writer: w, request: r, call: call, arrived: now, tried: map[string]bool{}, handed: handed}
+	if handed != nil {
+		x.sends = handed.Sends
+		for _, id := range handed.Tried {
+			x.tried[id] = true
+		}
+	}
 	defer func() { x.call.Body.Release() }()
 	if err != nil {
 		x.refuse(http.StatusBadRequest, "Malformed", time.Time{}, "Error", err.Error())
@@ -102,6 +111,10 @@
 		x.refuse(http.StatusServiceUnavailable, "Draining", now.Add(admit.StopRetryDelay))
 		return false
 	}
+	if x.handed != nil {
+		// The daemon that has handed the request over has taken its cost.
+		return true
+	}
 	verdict := d.tables.takeAllowance(x.account.Name, cost, now)
 	if !verdict.Admitted {
 		x.refuse(http.StatusTooManyRequests, "OverAllowance", verdict.RetryAt, "Cost", cost, "Level", verdict.Level)
--- a/entryd/relay/stream.go
+++ b/entryd/relay/stream.go
@@ -80,6 +80,7 @@
 		if !x.follows(event, resumed) {
 			return failed, errNotFollowing
 		}
+		x.daemon.links.heard()
 		// Comments are forwarded, but a stream that sends nothing else has stalled.
 		content := wire.HasContent(event)
 		if !content && !x.responseStarted {
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -129,6 +129,8 @@
 		// misdirected holds the endpoints whose address belongs to another endpoint, each with the
 		// time of its registration.
 		misdirected map[string]int64
+		// failingTo reports whether connections to an endpoint fail here, and whether other daemons open some.
+		failingTo func(id string, now time.Time) (failing, lostTo bool)
 	}
 
 	// peerState is the last digest of a daemon, the last sums of a data centre, or the last totals of
@@ -215,7 +217,7 @@
 		evacuationRecords: map[string]Record{}, regions: homes.New(s.DataCentre, s.Region, s.Regions),
 		warmth: map[uint32]warmth{}, coldLimits: map[uint32]float64{}, coldOverrun: s.Limits.ColdOverrun, coldTolerance: s.Limits.ColdTolerance,
 		prefixTable: newPrefixTable(s.Limits.CacheReuseWindow),
-		misdirected: map[string]int64{}, rollouts: map[string]*rollout{}, rolloutEnds: map[string]rolloutFinding{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{}, speeds: newEndpointSpeeds(),
+		misdirected: map[string]int64{}, failingTo: func(string, time.Time) (bool, bool) { return false, false }, rollouts: map[string]*rollout{}, rolloutEnds: map[string]rolloutFinding{}, timings: map[timingKey]shift.Reference{}, suspects: suspect.New(), poison: poison.New(), paces: map[string]*pace.State{}, speeds: newEndpointSpeeds(),
 		demand: map[string]*serviceDemand{}, demandSentAt: map[messageKind]time.Time{}, daemons: 1, phase: quotaPhase(s.Name),
 	}
 }
@@ -478,6 +480,10 @@
 		if born, wrong := t.misdirected[e.ID]; wrong && born == e.StartedAtMS {
 			continue
 		}
+		failing, lostTo := t.failingTo(e.ID, now)
+		if lostTo {
+			continue
+		}
 		status := t.health.Status(e.ID)
 		c := choice.Candidate{
 			ID: e.ID, Version: e.Version, DataCentre: e.DataCentre, Slots: e.Slots, Memory: memory,
@@ -503,7 +509,7 @@
 			}
 			found.closed[e.ID] = true
 		}
-		if status.Blocked() {
+		if status.Blocked() || failing {
 			found.unhealthy = append(found.unhealthy, c)
 		} else {
 			found.healthy = append(found.healthy, c)
