relay, quota: brittle endpoints get requests only where they have room

What callers would see: endpoints that say that they are brittle fall over together in a flood, with the work that runs there. The cause: each daemon met a limit for all of them as if it were alone; a rejection told it nothing for the next request.

The slots of a brittle endpoint are divided between the daemons. Beyond its own, a daemon sends only while the endpoint seems roomy, and what it risks is counted as rejections in the quota of limits, which all daemons share without a counter at the centre. Endpoints that say nothing get requests as before.

--- a/decide/quota/endpoint.go
+++ b/decide/quota/endpoint.go
@@ -18,7 +18,9 @@
 		// PerSecond is the most requests that a cold endpoint may get in any one second; 0 for an endpoint that is not
 		// cold. Its burst is smaller, since it crashes beyond that.
 		PerSecond float64
-		Now       time.Time
+		// Full states that the endpoint has used nothing before, so that its bucket is full at first.
+		Full bool
+		Now  time.Time
 	}
 
 	// EndpointUnlimited reports that an endpoint names no limit any more, or is gone.
@@ -83,6 +85,9 @@
 		}
 		s.accounts[m.Key] = b
 	}
+	if !known && m.Full {
+		b.level = a.Burst
+	}
 	b.cold = m.PerSecond > 0
 	b.account, b.level = a, min(b.level, a.Burst)
 }
--- a/entryd/relay/adapter.go
+++ b/entryd/relay/adapter.go
@@ -142,6 +142,11 @@
 		// names one. LimitMalformed reports that it names one that can't be read.
 		Limit          value.Option[float64]
 		LimitMalformed bool
+		// MaxRejections is the number of requests a second that the endpoint may have to turn away, from all daemons
+		// together, without falling over, if it is brittle. MaxRejectionsMalformed reports that it names one that can't
+		// be read.
+		MaxRejections          value.Option[float64]
+		MaxRejectionsMalformed bool
 		// WarmAt is when the process that sent the response is warm, if it states that.
 		WarmAt value.Option[time.Time]
 	}
--- a/entryd/relay/attempt.go
+++ b/entryd/relay/attempt.go
@@ -392,10 +392,13 @@
 	if reply.Misdirected {
 		a.x.daemon.tables.excludeMisdirected(a.endpoint)
 	} else {
-		a.recordLimit(reply)
+		a.recordLimits(reply)
 		a.recordWarmth(reply)
 	}
 	if reply.NotRun {
+		if !reply.Misdirected {
+			a.x.daemon.tables.countRejection(a.endpoint)
+		}
 		a.x.log("Not run.", "Endpoint", a.endpoint.ID, "Status", response.StatusCode, "Misdirected", reply.Misdirected)
 		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes))
 		// The request may be sent to the same address again, for the endpoint that now has it. A second
@@ -450,19 +453,25 @@
 	}
 }
 
-// recordLimit takes up how many requests the endpoint takes from now on. A limit that can't be read changes nothing.
-func (a *attempt) recordLimit(reply Reply) {
-	if reply.LimitMalformed {
+// recordLimits takes up how many requests the endpoint takes, and may have to turn away, from now on. A limit that can't
+// be read changes nothing.
+func (a *attempt) recordLimits(reply Reply) {
+	a.recordLimit(requestsLimit, reply.Limit, reply.LimitMalformed, "Endpoints.Limited", "Endpoint limits requests.")
+	a.recordLimit(rejectionsLimit, reply.MaxRejections, reply.MaxRejectionsMalformed, "Endpoints.Brittle", "Endpoint limits rejections.")
+}
+
+func (a *attempt) recordLimit(kind limitKind, limit value.Option[float64], malformed bool, meter, message string) {
+	d := a.x.daemon
+	if malformed {
 		a.x.log("Limit malformed.", "Endpoint", a.endpoint.ID)
 		return
 	}
-	d := a.x.daemon
-	if !d.tables.recordLimit(a.endpoint, reply.Limit, d.clock.now()) {
+	if !d.tables.recordLimit(a.endpoint, kind, limit, d.clock.now()) {
 		return
 	}
-	d.meters.count("Endpoints.Limited")
-	rate, limited := reply.Limit.Get()
-	a.x.log("Endpoint limits requests.", "Endpoint", a.endpoint.ID, "Service", a.endpoint.Service, "Limited", limited, "PerSecond", rate)
+	d.meters.count(meter)
+	rate, limited := limit.Get()
+	a.x.log(message, "Endpoint", a.endpoint.ID, "Service", a.endpoint.Service, "Limited", limited, "PerSecond", rate)
 }
 
 // recordWarmth takes up whether the endpoint is cold.
--- a/entryd/relay/cold_test.go
+++ b/entryd/relay/cold_test.go
@@ -88,7 +88,7 @@
 			t.Errorf("%s: limited %v to %g a second, want %v to at most 2", c.name, limited, rate, c.want)
 		}
 		current, _ := tables.endpoint("e1")
-		tables.recordLimit(current, value.Some(1.0), now)
+		tables.recordLimit(current, requestsLimit, value.Some(1.0), now)
 		if rate, limited := tables.quota.Limit(limitKey("e1")); limited && rate > 1 {
 			t.Errorf("%s: limited to %g a second although the endpoint takes one", c.name, rate)
 		}
--- a/entryd/relay/hedge_test.go
+++ b/entryd/relay/hedge_test.go
@@ -29,7 +29,7 @@
 		tables.recordHealth(endpoints["unhealthy"], health.Failed, 0, 0, now)
 	}
 	tables.recordWarmth(endpoints["cold"], now.Add(time.Minute), now)
-	tables.recordLimit(endpoints["limited"], value.Some(1000.0), now)
+	tables.recordLimit(endpoints["limited"], requestsLimit, value.Some(1000.0), now)
 	tables.recordRejection(endpoints["rejecting"], now.Add(time.Minute), now)
 	tables.recordLeaving(endpoints["leaving"])
 	now = now.Add(2 * time.Second)
--- a/entryd/relay/limits.go
+++ b/entryd/relay/limits.go
@@ -24,9 +24,24 @@
 	limitBase = 36
 	// limitReached means that an endpoint gets as many requests as it takes.
 	limitReached roster.Reason = "LimitReached"
+	// noRoom means that a brittle endpoint may have to turn the request away.
+	noRoom roster.Reason = "NoRoom"
+
+	// requestsLimit is the number of requests a second that an endpoint takes, rejectionsLimit that of requests which it
+	// may have to turn away.
+	requestsLimit   limitKind = ""
+	rejectionsLimit limitKind = "/rejections"
+	// rejectionsFraction of the rejections that an endpoint bears are risked: daemons send requests before they know of
+	// each other's rejections.
+	rejectionsFraction = 0.4
+	// noRoomDelay is the time after which loads show whether a full endpoint has room again.
+	noRoomDelay = 300 * time.Millisecond
 )
 
 type (
+	// limitKind tells the limits of an endpoint apart. Each has an identifier of its own in messages and quota keys.
+	limitKind string
+
 	// statedLimit is what an endpoint has said of its limit.
 	statedLimit struct {
 		// rate is the number of requests a second; negative if the endpoint has named no limit.
@@ -43,21 +58,26 @@
 	}
 )
 
+// limitID returns the short identifier of a limit of an endpoint.
+func limitID(endpoint string, kind limitKind) uint32 { return shortID(endpoint + string(kind)) }
+
 // limitKey returns the quota key of an endpoint. The names of client accounts have no such first character.
-func limitKey(endpoint string) string { return shortLimitKey(shortID(endpoint)) }
+func limitKey(endpoint string) string { return shortLimitKey(limitID(endpoint, requestsLimit)) }
+
+func rejectionsKey(endpoint string) string { return shortLimitKey(limitID(endpoint, rejectionsLimit)) }
 
 func shortLimitKey(id uint32) string { return "\x00" + strconv.FormatUint(uint64(id), limitBase) }
 
-// recordLimit records how many requests a second an endpoint takes from all daemons together, or that it names no
-// limit, and reports whether that is news.
-func (t *tables) recordLimit(endpoint setup.Endpoint, limit value.Option[float64], now time.Time) bool {
+// recordLimit records a limit that an endpoint has for all daemons together, or that it names none, and reports whether
+// that is news.
+func (t *tables) recordLimit(endpoint setup.Endpoint, kind limitKind, limit value.Option[float64], now time.Time) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	current, known := t.endpoint(endpoint.ID)
 	if !known || !current.SameProcess(endpoint) {
 		return false
 	}
-	id := shortID(endpoint.ID)
+	id := limitID(endpoint.ID, kind)
 	rate, named := limit.Get()
 	if !named {
 		if _, everLimited := t.limits[id]; !everLimited {
@@ -92,6 +112,9 @@
 	named = named && stated.rate >= 0
 	cold, isCold := t.coldLimits[id]
 	switch {
+	case named && t.rejectionIDs[id]:
+		rate := rejectionsFraction * stated.rate
+		t.quota.Update(quota.EndpointLimited{Key: key, Rate: rate, PerSecond: stated.rate, Full: true, Now: now})
 	case isCold:
 		rate := cold
 		if named {
@@ -108,7 +131,12 @@
 // removeLimit removes the limit of an endpoint whose process has ended, with everything that was counted for it. What the
 // process has said before has no effect any more. The caller holds the lock.
 func (t *tables) removeLimit(endpoint string, now time.Time) {
-	id := shortID(endpoint)
+	for _, kind := range []limitKind{requestsLimit, rejectionsLimit} {
+		t.removeLimitID(limitID(endpoint, kind), now)
+	}
+}
+
+func (t *tables) removeLimitID(id uint32, now time.Time) {
 	delete(t.ownLimits, id)
 	_, wasCold := t.coldLimits[id]
 	if _, everLimited := t.limits[id]; !everLimited && !wasCold {
@@ -169,7 +197,7 @@
 			continue
 		}
 		limits[id] = statedLimit{rate: float64(r.Rate), saidAt: ago(r.AgeMS, now)}
-		if t.shortIDs[id] {
+		if t.shortIDs[id] || t.rejectionIDs[id] {
 			t.applyLimit(id, limits[id], now)
 		}
 	}
@@ -189,9 +217,63 @@
 	if d := t.quota.CheckEndpoint(limitKey(e.ID), offered, now); !d.Admitted {
 		return d.RetryAt, limitReached
 	}
+	return t.roomAt(e, offered, now)
+}
+
+// roomAt returns when a brittle endpoint may get a request again if it may have no room now; zero if it may get one. The
+// caller holds the lock.
+func (t *tables) roomAt(e setup.Endpoint, offered float64, now time.Time) (time.Time, roster.Reason) {
+	key := rejectionsKey(e.ID)
+	if _, brittle := t.quota.Limit(key); !brittle {
+		return time.Time{}, ""
+	}
+	own, load := t.own[e.ID].Requests, t.load(e.ID, t.peerLoads(now)).Requests
+	switch quota.RoomFor(e.Slots, load, own, t.slotShares[e.ID]) {
+	case quota.Reserved:
+		return time.Time{}, ""
+	case quota.Full:
+		return now.Add(noRoomDelay), noRoom
+	case quota.Roomy:
+		offered = 0
+	case quota.Crowded:
+	}
+	if d := t.quota.CheckEndpoint(key, offered, now); !d.Admitted {
+		return d.RetryAt, noRoom
+	}
 	return time.Time{}, ""
 }
 
+// shareSlots divides the slots of brittle endpoints between the daemons.
+func (t *tables) shareSlots(self string, daemons []string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.slotShares = map[string]int{}
+	for _, e := range t.endpoints {
+		if _, brittle := t.quota.Limit(rejectionsKey(e.ID)); brittle {
+			t.slotShares[e.ID] = quota.SlotShare(e.Slots, e.ID, self, daemons)
+		}
+	}
+}
+
+// hasBrittle reports whether some endpoint bears a limited number of rejections.
+func (t *tables) hasBrittle() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for id := range t.limits {
+		if t.rejectionIDs[id] && t.limits[id].rate >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// countRejection counts a request that an endpoint has turned away. It matters for brittle endpoints only.
+func (t *tables) countRejection(endpoint setup.Endpoint) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.quota.CountEndpoint(rejectionsKey(endpoint.ID))
+}
+
 // attraction returns the fraction of a service's requests that one of its endpoints may attract. The caller holds the
 // lock.
 func (t *tables) attraction(service string) float64 {
--- a/entryd/relay/limits_test.go
+++ b/entryd/relay/limits_test.go
@@ -44,19 +44,19 @@
 		return count
 	}
 	exchange(1)
-	if !a.followers[0].recordLimit(endpoint, value.Some(3.0), now) {
+	if !a.followers[0].recordLimit(endpoint, requestsLimit, value.Some(3.0), now) {
 		t.Error("a limit is no news")
 	}
 	exchange(6)
 	if got := limited(); got != len(all) {
 		t.Errorf("%d of %d daemons have heard of the limit", got, len(all))
 	}
-	b.followers[1].recordLimit(endpoint, value.Option[float64]{}, now)
+	b.followers[1].recordLimit(endpoint, requestsLimit, value.Option[float64]{}, now)
 	exchange(6)
 	if got := limited(); got != 0 {
 		t.Errorf("%d daemons have a limit that has ended", got)
 	}
-	a.followers[0].recordLimit(endpoint, value.Some(3.0), now)
+	a.followers[0].recordLimit(endpoint, requestsLimit, value.Some(3.0), now)
 	endpoint.StartedAtMS = 9
 	for _, f := range all {
 		f.putEndpoint(Record{Key: "e1", Offset: 2}, endpoint, now)
--- a/entryd/relay/members.go
+++ b/entryd/relay/members.go
@@ -148,6 +148,17 @@
 	return reports
 }
 
+// names returns the names of all daemons, this one included.
+func (m *members) names() (names []string) {
+	m.use(func(s *hubs.State) {
+		names = append(names, s.Self().Name)
+		for _, r := range s.Members() {
+			names = append(names, r.Name)
+		}
+	})
+	return names
+}
+
 // readInterval returns the pause between reads of the daemons' records.
 func (m *members) readInterval() time.Duration {
 	return memberReadInterval * time.Duration(max(baseDaemons, m.count())) / baseDaemons
--- a/entryd/relay/relay.go
+++ b/entryd/relay/relay.go
@@ -347,6 +347,9 @@
 	return every(ctx, tickInterval, func() {
 		d.tables.setFleet(d.members.count(), d.clock.wallNow().Sub(d.clock.now()))
 		d.publishChanges(d.tables.tick(d.clock.now()))
+		if d.tables.hasBrittle() {
+			d.tables.shareSlots(d.settings.Name, d.members.names())
+		}
 		d.logPoison()
 		d.logDemand()
 		d.logRollouts()
--- a/entryd/relay/tables.go
+++ b/entryd/relay/tables.go
@@ -81,6 +81,10 @@
 		digestCold, sumCold, totalCold time.Time
 		// shortIDs are the short identifiers of the endpoints.
 		shortIDs map[uint32]bool
+		// slotShares are the slots of brittle endpoints that this daemon may use whatever the others do.
+		slotShares map[string]int
+		// rejectionIDs are the short identifiers of the endpoints' limits of rejections.
+		rejectionIDs map[uint32]bool
 		// placed is the number of requests whose engine time is in work, by service.
 		placed map[string]float64
 		// pastUsed is the usage of ended processes of the own data centre, by client account,
@@ -367,7 +371,7 @@
 	t.stale, t.coldStale = false, true
 	t.endpoints = t.roster.Endpoints()
 	t.endpointsHash, t.endpointHashes = 0, rosterHashes{}
-	t.shortIDs = make(map[uint32]bool, len(t.endpoints))
+	t.shortIDs, t.rejectionIDs = make(map[uint32]bool, len(t.endpoints)), make(map[uint32]bool, len(t.endpoints))
 	var members []health.Member
 	for _, e := range t.endpoints {
 		// What an endpoint has said to this daemon alone is no difference from the records of others.
@@ -375,6 +379,7 @@
 		t.endpointsHash ^= hash
 		t.endpointHashes[bucketOf(e.ID)] ^= hash
 		t.shortIDs[shortID(e.ID)] = true
+		t.rejectionIDs[limitID(e.ID, rejectionsLimit)] = true
 		members = append(members, health.Member{Instance: e.ID, DataCentre: e.DataCentre, Routes: []string{e.Service}, Incarnation: e.StartedAtMS})
 	}
 	t.health, _ = t.health.Update(health.Listing{Time: now, Endpoints: members})
