dial: no probes on connections with a limit for unacknowledged data

Which connections set one: those to the API alone (wire/dial with MaxUnacknowledged); no library in use sets one by itself. On such a connection the kernel gives up at the first probe that isn't answered at once, whatever the count of probes, so that a peer that is silent for a second while the connection is idle costs it. What callers would see: a call under the lease that fails on a connection which was sound.

TestProbesOfIdleConnections failed before (probes with a limit of 1,500 ms) and passes. Connections to endpoints, the log, daemons and callers have probes and no limit.

--- a/wire/dial/dial.go
+++ b/wire/dial/dial.go
@@ -25,7 +25,8 @@
 	// Timeout limits opening a connection; 0 for no limit.
 	Timeout time.Duration
 	// MaxUnacknowledged is how long the peer may leave data unacknowledged before the kernel resets the connection,
-	// in milliseconds of resolution; 0 for the kernel's own limit. It also holds while the process is stopped.
+	// in milliseconds of resolution; 0 for the kernel's own limit. It also holds while the process is stopped. Such a
+	// connection has no probes: who keeps it idle must close it soon.
 	MaxUnacknowledged time.Duration
 	// ReceiveBuffer is the size of the receive buffer in bytes; 0 for the kernel's own.
 	ReceiveBuffer int
@@ -34,13 +35,23 @@
 // New returns a dialer whose connections are reset when they are closed. Its errors are those of net.Dialer, and
 // those of the system for options that can't be set.
 func New(o Options) *net.Dialer {
-	return &net.Dialer{Timeout: o.Timeout, Control: func(_, _ string, raw syscall.RawConn) error {
+	return &net.Dialer{Timeout: o.Timeout, KeepAlive: o.probeInterval(), Control: func(_, _ string, raw syscall.RawConn) error {
 		var failure error
 		err := raw.Control(func(fd uintptr) { failure = o.set(int(fd)) })
 		return errors.Join(err, failure)
 	}}
 }
 
+// probeInterval returns the interval of the probes of an idle connection: the usual one, or none with a limit for
+// unacknowledged data. The kernel would give up at the first probe that is not answered at once, although the peer may only
+// be silent for a moment.
+func (o Options) probeInterval() time.Duration {
+	if o.MaxUnacknowledged > 0 {
+		return -1
+	}
+	return 0
+}
+
 func (o Options) set(fd int) error {
 	err := unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0})
 	if o.MaxUnacknowledged > 0 {
--- a/wire/dial/dial_test.go
+++ b/wire/dial/dial_test.go
@@ -96,6 +96,43 @@
 	}
 }
 
+// TestProbesOfIdleConnections guards against idle connections whose peer is silent for a second and goes on: a limit for
+// unacknowledged data also decides when probes of an idle connection give up, after the first one whatever their count.
+func TestProbesOfIdleConnections(t *testing.T) {
+	listener := listen(t)
+	for name, c := range map[string]struct {
+		options Options
+		probes  bool
+	}{
+		"a limit for data": {options: Options{MaxUnacknowledged: 1500 * time.Millisecond}},
+		"no limit":         {probes: true},
+	} {
+		conn, err := New(c.options).Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		probes, limit := option(t, conn, unix.SOL_SOCKET, unix.SO_KEEPALIVE) != 0, option(t, conn, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		if probes != c.probes || limit != int(c.options.MaxUnacknowledged.Milliseconds()) {
+			t.Errorf("%s: probes %v, limit %d ms; want %v, %v", name, probes, limit, c.probes, c.options.MaxUnacknowledged)
+		}
+		_ = conn.Close()
+	}
+}
+
+// option returns the value of a connection's option.
+func option(t *testing.T, conn net.Conn, level, name int) (value int) {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var failure error
+	if err := raw.Control(func(fd uintptr) { value, failure = unix.GetsockoptInt(int(fd), level, name) }); err != nil || failure != nil {
+		t.Fatal(err, failure)
+	}
+	return value
+}
+
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
