--- a/decide/assist/links.go
+++ b/decide/assist/links.go
@@ -92,16 +92,19 @@
 		Test       bool
 	}
 
-	// Sent reports that a request was sent, Heard that an endpoint has answered one, Ended that one has ended without
-	// an answer.
+	// Sent reports that a request was sent.
 	Sent struct {
 		ID  string
 		Now time.Time
 	}
+
+	// Heard reports that an endpoint has answered a request.
 	Heard struct {
 		ID  string
 		Now time.Time
 	}
+
+	// Ended reports that a request has ended without an answer.
 	Ended struct{ ID string }
 
 	// Questioned reports another daemon's question about endpoints.
