relay: a hand-over says what has reached endpoints, and nothing more

(3) The allowance was not returned for a caller that left before anything was sent.

TestHelperRefusalOfARequestThatMayHaveRun and TestUnreachedEndpointsStayOpenToTheHelper guard the first two; the others by reading.

--- a/entryd/relay/exchange.go
+++ b/entryd/relay/exchange.go
@@ -40,6 +40,8 @@
 		standing standing
 		// tried holds the endpoints to which the request was sent.
 		tried map[string]bool
+		// unreached holds those of them to which no connection opened, so that they have not got the request.
+		unreached map[string]bool
 		// reserved is the endpoint of the next attempt, if one was selected already.
 		reserved *selection
 		// silent is the endpoint that the last fail-over has left, until the request returns to it.
@@ -163,9 +165,7 @@
 		case callerGone:
 			x.log("Caller left.", "Endpoint", next.endpoint.ID, "Sends", x.sends+1, "MayHaveRun", x.mayHaveRun)
 			d.meters.count("Callers.Left")
-			if !x.mayHaveRun && x.cost > 0 {
-				d.tables.returnAllowance(x.account.Name, x.cost)
-			}
+			x.returnCost()
 			panic(http.ErrAbortHandler)
 		case deadlinePassed:
 			if d.ended.Err() != nil {
@@ -175,6 +175,9 @@
 			}
 			return
 		case notSent:
+			if copies == 0 {
+				x.unreached[next.endpoint.ID] = true
+			}
 			if dials++; dials >= maxDials && !x.reserveSilent(notSent) {
 				if !x.mayHandOver() || !x.handOver(ctx, "Unreachable") {
 					x.fail(notSent, "Unreachable")
--- a/entryd/relay/handover.go
+++ b/entryd/relay/handover.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"lentilstage.dev/decide/assist"
+	"lentilstage.dev/domain/value"
 )
 
 type (
@@ -120,7 +121,6 @@
 		case notTaken:
 			d.links.drop(helper.Name)
 		case unknown:
-			x.mayHaveRun = true
 			x.sends++
 			if !x.mayRepeat() || x.sends >= x.route.MaxAttempts || !x.requestRetry(broken, x.sends) {
 				x.fail(broken, "HelperLost")
@@ -138,10 +138,7 @@
 	c, _, err := x.connect(ctx, helper.Address)
 	if err != nil {
 		x.log("Helper not reached.", "Helper", helper.Name, "Error", err.Error())
-		if result, ended := x.endInterrupted(ctx); ended {
-			return result
-		}
-		return notTaken
+		return x.endInterrupted(ctx, notTaken)
 	}
 	keep := false
 	defer func() {
@@ -171,13 +168,11 @@
 		return notTaken
 	}
 	if err != nil {
-		if result, ended := x.endInterrupted(ctx); ended {
-			x.mayHaveRun = true
-			return result
-		}
 		x.log("Helper lost.", "Helper", helper.Name, "Error", err.Error())
 		d.meters.count("HandOvers.Broken")
-		return unknown
+		// The helper may have counted the request, too.
+		x.mayHaveRun, x.counted = true, true
+		return x.endInterrupted(ctx, unknown)
 	}
 	if verdict := response.Header.Get(handOverHeader); verdict != takenValue {
 		x.log("Hand-over declined.", "Helper", helper.Name, "Status", response.StatusCode, "Reason", strings.TrimPrefix(verdict, declinedValue+" "))
@@ -190,13 +185,20 @@
 		x.fail(failed, string(failed))
 		return finished
 	}
-	if slices.Contains(notRunStatuses, response.StatusCode) && x.cost > 0 && !x.mayHaveRun {
-		d.tables.returnAllowance(x.account.Name, x.cost)
+	if slices.Contains(notRunStatuses, response.StatusCode) {
+		if x.mayHaveRun {
+			// The helper speaks for itself. An endpoint may have run the request before.
+			x.log("Refusal of a request that may have run.", "Helper", helper.Name, "Status", response.StatusCode)
+			x.fail(broken, "HelperRefused")
+			return finished
+		}
+		x.returnCost()
 	}
 	bytes, err := x.relay(response)
 	x.log("Hand-over ended.", "Helper", helper.Name, "Status", response.StatusCode, "Bytes", bytes, "Whole", err == nil,
 		"Milliseconds", d.clock.now().Sub(sentAt).Milliseconds())
 	if err != nil {
+		// The caller has left, or the helper has.
 		d.meters.count("Answers.BrokenOff")
 		x.abort()
 	}
@@ -206,19 +208,26 @@
 	return finished
 }
 
-// endInterrupted ends a request whose caller has left or whose deadline has passed, and reports whether it did.
-func (x *exchange) endInterrupted(ctx context.Context) (handOverResult, bool) {
+// endInterrupted ends a request whose caller has left or whose deadline has passed. Otherwise it returns the result.
+func (x *exchange) endInterrupted(ctx context.Context, result handOverResult) handOverResult {
 	switch {
 	case x.request.Context().Err() != nil:
-		x.log("Caller left.", "Endpoint", "", "MayHaveRun", x.mayHaveRun)
+		x.log("Caller left.", "MayHaveRun", x.mayHaveRun)
 		x.daemon.meters.count("Callers.Left")
+		x.returnCost()
 		panic(http.ErrAbortHandler)
 	case ctx.Err() != nil || !x.daemon.clock.now().Before(x.deadline):
-		x.mayHaveRun = true
 		x.fail(deadlinePassed, "Deadline")
-		return finished, true
+		return finished
+	}
+	return result
+}
+
+// returnCost returns what a request that has not run has taken from its client account's allowance.
+func (x *exchange) returnCost() {
+	if x.cost > 0 && !x.mayHaveRun {
+		x.daemon.tables.returnAllowance(x.account.Name, x.cost)
 	}
-	return "", false
 }
 
 // handOverFields returns the header of the request for a helper.
@@ -228,7 +237,7 @@
 		Daemon: d.settings.Name, Incarnation: d.incarnation, Config: x.config.Version, Sends: x.sends, Counted: x.counted,
 	}
 	for id := range x.tried {
-		if len(description.Tried) < maxTriedEndpoints {
+		if !x.unreached[id] && len(description.Tried) < maxTriedEndpoints {
 			description.Tried = append(description.Tried, id)
 		}
 	}
@@ -236,8 +245,12 @@
 	if err != nil {
 		return nil, err
 	}
+	deadline := x.deadline
+	if stopsAt := d.stopTime(); !stopsAt.IsZero() {
+		deadline = value.Earlier(deadline, stopsAt)
+	}
 	header := d.codec.HandOverHeader(x.request.Header, AttemptInfo{
-		Deadline: x.deadline.Add(-handOverMargin), Now: now, LastEventID: x.lastEvent,
+		Deadline: deadline.Add(-handOverMargin), Now: now, LastEventID: x.lastEvent,
 	})
 	header.Set(handOverHeader, string(encoded))
 	return header, nil
--- a/entryd/relay/handover_test.go
+++ b/entryd/relay/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -172,3 +173,38 @@
 		})
 	}
 }
+
+// TestUnreachedEndpointsStayOpenToTheHelper guards against a helper that passes over the endpoints which the first daemon
+// has only failed to connect to.
+func TestUnreachedEndpointsStayOpenToTheHelper(t *testing.T) {
+	d := newStrandedDaemon(t, handOverCase{})
+	x := &exchange{
+		daemon: d, config: d.tables.currentConfig(), request: httptest.NewRequest(http.MethodPost, "http://test.example/calls/1", nil),
+		tried: map[string]bool{"sent": true, "unreached": true}, unreached: map[string]bool{"unreached": true}, sends: 1,
+	}
+	header, err := x.handOverFields(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got handOver
+	if err := json.Unmarshal([]byte(header.Get(handOverHeader)), &got); err != nil || len(got.Tried) != 1 || got.Tried[0] != "sent" || got.Sends != 1 {
+		t.Errorf("%+v, error %v; want one send, to the endpoint \"sent\"", got, err)
+	}
+}
+
+// TestHelperRefusalOfARequestThatMayHaveRun guards against a refusal that says "not run" although an endpoint has got the
+// request from the first daemon.
+func TestHelperRefusalOfARequestThatMayHaveRun(t *testing.T) {
+	var offers atomic.Int64
+	d := newStrandedDaemon(t, handOverCase{}, startHelper(t, "Refuse", &offers))
+	request := httptest.NewRequest(http.MethodPost, "http://test.example/calls/1", nil)
+	recorder := httptest.NewRecorder()
+	x := &exchange{daemon: d, writer: recorder, request: request, arrived: time.Now(), sends: 1, mayHaveRun: true, tried: map[string]bool{}, unreached: map[string]bool{}}
+	x.call, _ = d.codec.ReadCall(request, time.Now())
+	x.config = d.tables.currentConfig()
+	x.route, _ = x.config.Match(x.call.Host, x.call.Path)
+	x.deadline = time.Now().Add(time.Second)
+	if !x.handOver(t.Context(), "LinksLost") || recorder.Code != http.StatusBadGateway || offers.Load() != 1 {
+		t.Errorf("status %d after %d offers, want %d after one", recorder.Code, offers.Load(), http.StatusBadGateway)
+	}
+}
--- a/entryd/relay/links.go
+++ b/entryd/relay/links.go
@@ -207,7 +207,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	maps.DeleteFunc(l.helpers, func(_ string, h assist.Helper) bool { return now.Sub(h.HeardAt) > assist.HelperTTL })
-	if m.Control == "" || len(l.helpers) >= maxHelpers {
+	if _, known := l.helpers[m.Daemon]; m.Control == "" || !known && len(l.helpers) >= maxHelpers {
 		return
 	}
 	l.helpers[m.Daemon] = assist.Helper{
--- a/entryd/relay/server.go
+++ b/entryd/relay/server.go
@@ -48,9 +48,9 @@
 	w.Header()["Content-Type"] = nil
 	d.meters.count("Requests.Received")
 	call, err := d.codec.ReadCall(r, now)
-	x := &exchange{daemon: d, conn: conn, writer: w, request: r, call: call, arrived: now, tried: map[string]bool{}, handed: handed}
+	x := &exchange{daemon: d, conn: conn, writer: w, request: r, call: call, arrived: now, tried: map[string]bool{}, unreached: map[string]bool{}, handed: handed}
 	if handed != nil {
-		x.sends = handed.Sends
+		x.sends, x.mayHaveRun = handed.Sends, handed.Sends > 0
 		for _, id := range handed.Tried {
 			x.tried[id] = true
 		}
