assist: endpoints that are gone are forgotten in calm times too

By reading: a daemon whose links are sound kept the time of the last connection to each endpoint that it had ever reached, also of those that are gone. It forgets them once there are twice as many as endpoints, 64 at least. go test ./decide/assist passes.

--- a/decide/assist/links.go
+++ b/decide/assist/links.go
@@ -171,6 +171,8 @@
 	maxTests  = 16
 	// maxTestPause limits the pause between two tests of one endpoint, which doubles.
 	maxTestPause = time.Second
+	// minOpened is the number of endpoints up to which those that are gone are not forgotten.
+	minOpened = 64
 	// maxAsked limits the endpoints in a question.
 	maxAsked = 16
 	// maxSightings limits the times that are kept. enclosingTime is the longest time between two of them in which endpoints
@@ -246,7 +248,8 @@
 
 // Calm reports whether a tick would change nothing.
 func (l Links) Calm(now, heardAt time.Time) bool {
-	return l.phase == Sound && len(l.failed) == 0 && len(l.questioned) == 0 && l.testing == 0 && !l.silent(now, heardAt)
+	return l.phase == Sound && len(l.failed) == 0 && len(l.questioned) == 0 && l.testing == 0 && !l.silent(now, heardAt) &&
+		len(l.opened) <= max(2*l.listed, minOpened)
 }
 
 // Update applies a message and returns the resulting commands.
@@ -427,7 +430,7 @@
 // list forgets endpoints that are no longer listed.
 func (l *Links) list(ids []string) {
 	l.listed = len(ids)
-	if len(l.opened) <= 2*l.listed && len(l.failed) == 0 {
+	if len(l.opened) <= max(2*l.listed, minOpened) && len(l.failed) == 0 {
 		return
 	}
 	listed := make(map[string]bool, len(ids))
