--- a/decide/assist/links.go
+++ b/decide/assist/links.go
@@ -50,8 +50,9 @@
 		peersOpened sightings
 		// testing is the number of tests without a result.
 		testing int
-		// batch is the number of tests that begin together, while they succeed.
-		batch             int
+		// batch is the number of tests that begin together. It grows while they succeed.
+		batch int
+		// testedAt is when the last tests began, askedAt when others were last asked.
 		testedAt, askedAt time.Time
 		// questioned holds the endpoints of a question that this daemon can't answer from recent connections.
 		questioned []string
@@ -59,9 +60,10 @@
 
 	// failure is a link on which no connection opens.
 	failure struct {
-		since, testAt time.Time
-		// pause is the time until the next test. It doubles with each test that fails.
-		pause time.Duration
+		since time.Time
+		// tests is the number of tests that have failed, testAt when the next one is due.
+		tests  int
+		testAt time.Time
 		// begun holds when connections that failed were begun, not each of many, and reached when other daemons opened one.
 		begun, reached sightings
 	}
@@ -324,10 +326,9 @@
 		f.begun = f.begun.with(m.Began)
 	}
 	if m.Test {
-		f.pause *= 2
+		f.tests++
 	}
-	f.pause = min(max(f.pause, testInterval), maxTestPause)
-	f.testAt = m.Now.Add(f.pause)
+	f.testAt = m.Now.Add(f.testPause())
 	l.failed[m.ID] = f
 	l.run[m.ID] = true
 	if l.phase == Sound && len(l.run) >= l.enough(suspectEndpoints) {
@@ -336,6 +337,15 @@
 	return l.judge(m.Now)
 }
 
+// testPause returns the time until the next test of the link, which doubles with each test that fails.
+func (f failure) testPause() time.Duration {
+	pause := testInterval
+	for n := 1; n < f.tests && pause < maxTestPause; n++ {
+		pause *= 2
+	}
+	return min(pause, maxTestPause)
+}
+
 // enough returns how many of the endpoints must fail, if some number of them would do.
 func (l Links) enough(count int) int {
 	if l.listed == 0 {
